Add the core types and the control loop

Cause: every part has to be built in the same shape: one reducer over all events, effects as data, one control goroutine, immutable values.

--- /dev/null
+++ b/core/conf/conf.go
@@ -0,0 +1,279 @@
+// Package conf is the decision part for configuration: which version of each
+// object is in force on this node.
+package conf
+
+import (
+	"cmp"
+	"crypto/subtle"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/benbjohnson/immutable"
+
+	"caroblane/core/effect"
+	"caroblane/core/event"
+	"caroblane/core/model"
+	"caroblane/core/step"
+)
+
+// Out is what this part produces in a step.
+type Out = step.Out[event.Event, effect.Effect]
+
+type objectID struct {
+	kind model.Kind
+	name string
+}
+
+// entry is an object as last seen, and the valid value that is in force.
+type entry struct {
+	seen       model.Version
+	generation uint64
+	// contiguous tells that no write was missed before this one.
+	contiguous bool
+	deleted    bool
+	value      any
+	fault      string
+}
+
+// State is the configuration in force. The zero value is not usable.
+type State struct {
+	version   model.Version
+	objects   *immutable.Map[objectID, entry]
+	keys      *immutable.Map[model.KeyHash, model.Key]
+	templates *immutable.Map[model.AccountName, model.Template]
+	upstreams *immutable.Map[model.UpstreamName, model.Upstream]
+	// byModel lists the upstreams of a model in order of their names.
+	byModel *immutable.Map[model.ModelName, []model.UpstreamName]
+	models  *immutable.Map[model.ModelName, model.Model]
+	// routes is sorted by falling length of the prefix.
+	routes []model.Route
+	roster model.Roster
+}
+
+// New returns a state without configuration.
+func New() State {
+	return State{
+		objects:   immutable.NewMap[objectID, entry](idHasher{}),
+		keys:      immutable.NewMap[model.KeyHash, model.Key](hashHasher{}),
+		templates: immutable.NewMap[model.AccountName, model.Template](nil),
+		upstreams: immutable.NewMap[model.UpstreamName, model.Upstream](nil),
+		byModel:   immutable.NewMap[model.ModelName, []model.UpstreamName](nil),
+		models:    immutable.NewMap[model.ModelName, model.Model](nil),
+	}
+}
+
+// Apply takes ConfigChanged and raises an event for each part of the
+// configuration that changed.
+func (s State) Apply(in step.Input[event.Event]) (State, Out) {
+	var out Out
+	changed, ok := in.Event.(event.ConfigChanged)
+	if !ok {
+		return s, out
+	}
+	for _, change := range changed.Changes {
+		s = s.withChange(change, &out)
+	}
+	if changed.Upto > s.version {
+		s.version = changed.Upto
+		out.Raise(event.VersionChanged{Version: s.version})
+	}
+	return s, out
+}
+
+// Faults lists the objects whose last write is not in force, with the reason.
+func (s State) Faults() map[string]string {
+	faults := map[string]string{}
+	for itr := s.objects.Iterator(); !itr.Done(); {
+		id, held, _ := itr.Next()
+		if held.fault != "" {
+			faults[id.kind.String()+"/"+id.name] = held.fault
+		}
+	}
+	return faults
+}
+
+// Key returns the key with the given hash.
+func (s State) Key(hash model.KeyHash) (model.Key, bool) {
+	key, ok := s.keys.Get(hash)
+	if !ok || subtle.ConstantTimeCompare(key.Hash[:], hash[:]) != 1 {
+		return model.Key{}, false
+	}
+	return key, true
+}
+
+// Model returns the model of the given name.
+func (s State) Model(name model.ModelName) (model.Model, bool) {
+	return s.models.Get(name)
+}
+
+// Models returns the names of all models in order.
+func (s State) Models() []model.ModelName {
+	names := make([]model.ModelName, 0, s.models.Len())
+	for itr := s.models.Iterator(); !itr.Done(); {
+		name, _, _ := itr.Next()
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Next returns the zero time: configuration needs no timer.
+func (s State) Next() time.Time { return time.Time{} }
+
+// Roster returns the roster in force.
+func (s State) Roster() model.Roster { return s.roster }
+
+// Route returns the route with the longest prefix of path.
+func (s State) Route(path string) (model.Route, bool) {
+	for _, route := range s.routes {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return model.Route{}, false
+}
+
+// Template returns the template of an account.
+func (s State) Template(account model.AccountName) (model.Template, bool) {
+	return s.templates.Get(account)
+}
+
+// Upstream returns the upstream of the given name.
+func (s State) Upstream(name model.UpstreamName) (model.Upstream, bool) {
+	return s.upstreams.Get(name)
+}
+
+// UpstreamsOf returns the names of the upstreams that serve a model.
+func (s State) UpstreamsOf(name model.ModelName) []model.UpstreamName {
+	names, _ := s.byModel.Get(name)
+	return names
+}
+
+// Version returns the version in force.
+func (s State) Version() model.Version { return s.version }
+
+// withChange applies one write unless a newer one of the object is held. An
+// invalid write leaves the valid value in force.
+func (s State) withChange(change model.Change, out *Out) State {
+	id := objectID{change.Kind, change.Name}
+	held, _ := s.objects.Get(id)
+	if change.Version <= held.seen {
+		return s
+	}
+	next := entry{
+		seen:       change.Version,
+		generation: change.Generation,
+		contiguous: change.Generation == held.generation+1,
+		deleted:    change.Deleted,
+		value:      change.Value,
+	}
+	if !change.Deleted {
+		next.fault = change.Fault
+		if next.fault == "" {
+			if err := Validate(change.Name, change.Value); err != nil {
+				next.fault = err.Error()
+			}
+		}
+	}
+	if next.fault != "" {
+		next.value = held.value
+		s.objects = s.objects.Set(id, next)
+		return s
+	}
+	s.objects = s.objects.Set(id, next)
+	return s.withValue(id, held.value, next, out)
+}
+
+// withValue updates the indexes from the old value of an object to the new one.
+func (s State) withValue(id objectID, old any, next entry, out *Out) State {
+	switch id.kind {
+	case model.KindKey:
+		if key, ok := old.(model.Key); ok {
+			s.keys = s.keys.Delete(key.Hash)
+		}
+		if key, ok := next.value.(model.Key); ok {
+			s.keys = s.keys.Set(key.Hash, key)
+		}
+		out.Raise(event.KeyChanged{Old: keyOf(old), New: keyOf(next.value)})
+	case model.KindTemplate:
+		account := model.AccountName(id.name)
+		template, ok := next.value.(model.Template)
+		if ok {
+			s.templates = s.templates.Set(account, template)
+		} else {
+			s.templates = s.templates.Delete(account)
+		}
+		out.Raise(event.TemplateChanged{
+			Account:    account,
+			Version:    next.seen,
+			Contiguous: next.contiguous,
+			Deleted:    !ok,
+			Template:   template,
+		})
+	case model.KindModel:
+		name := model.ModelName(id.name)
+		if value, ok := next.value.(model.Model); ok {
+			s.models = s.models.Set(name, value)
+		} else {
+			s.models = s.models.Delete(name)
+		}
+	case model.KindUpstream:
+		s = s.withUpstream(model.UpstreamName(id.name), old, next.value)
+		out.Raise(event.UpstreamChanged{Name: model.UpstreamName(id.name), Deleted: next.value == nil})
+	case model.KindRoute:
+		s = s.withRoute(old, next.value)
+	case model.KindRoster:
+		if roster, ok := next.value.(model.Roster); ok {
+			s.roster = roster
+			out.Raise(event.RosterChanged{Version: next.seen, Contiguous: next.contiguous, Roster: roster})
+		}
+	default:
+		// Other kinds are not configuration.
+	}
+	return s
+}
+
+func keyOf(value any) model.Key {
+	key, _ := value.(model.Key)
+	return key
+}
+
+func (s State) withRoute(old, value any) State {
+	routes := slices.Clone(s.routes)
+	if route, ok := old.(model.Route); ok {
+		routes = slices.DeleteFunc(routes, func(r model.Route) bool { return r.Prefix == route.Prefix })
+	}
+	if route, ok := value.(model.Route); ok {
+		routes = append(routes, route)
+	}
+	slices.SortStableFunc(routes, func(a, b model.Route) int {
+		return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(a.Prefix, b.Prefix))
+	})
+	s.routes = routes
+	return s
+}
+
+func (s State) withUpstream(name model.UpstreamName, old, value any) State {
+	if upstream, ok := old.(model.Upstream); ok {
+		for _, m := range upstream.Models {
+			names, _ := s.byModel.Get(m)
+			names = slices.DeleteFunc(slices.Clone(names), func(n model.UpstreamName) bool { return n == name })
+			s.byModel = s.byModel.Set(m, names)
+		}
+	}
+	upstream, ok := value.(model.Upstream)
+	if !ok {
+		s.upstreams = s.upstreams.Delete(name)
+		return s
+	}
+	upstream.Name = name
+	s.upstreams = s.upstreams.Set(name, upstream)
+	for _, m := range upstream.Models {
+		names, _ := s.byModel.Get(m)
+		names = append(slices.Clone(names), name)
+		slices.Sort(names)
+		s.byModel = s.byModel.Set(m, names)
+	}
+	return s
+}
--- /dev/null
+++ b/core/conf/hash.go
@@ -0,0 +1,24 @@
+package conf
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"caroblane/core/model"
+)
+
+// hashHasher takes the first bytes of a SHA-256, which are already uniform.
+type hashHasher struct{}
+
+func (hashHasher) Equal(a, b model.KeyHash) bool { return a == b }
+
+func (hashHasher) Hash(key model.KeyHash) uint32 { return binary.LittleEndian.Uint32(key[:4]) }
+
+type idHasher struct{}
+
+func (idHasher) Equal(a, b objectID) bool { return a == b }
+
+func (idHasher) Hash(id objectID) uint32 {
+	return uint32(xxhash.Sum64String(id.name)) ^ uint32(id.kind)<<24
+}
--- /dev/null
+++ b/core/event/admission.go
@@ -0,0 +1,33 @@
+package event
+
+import (
+	"time"
+
+	"caroblane/core/model"
+)
+
+// AdmissionAsked is raised when a request needs a token of its client account.
+type AdmissionAsked struct {
+	Ticket   model.Ticket
+	Account  model.AccountName
+	Priority int
+	AdmitBy  time.Time
+}
+
+// AdmissionDropped is raised when a waiting request no longer needs its token.
+type AdmissionDropped struct{ Ticket model.Ticket }
+
+// AdmissionGranted is raised when a request got its token.
+type AdmissionGranted struct{ Ticket model.Ticket }
+
+// AdmissionRefused is raised when a request got no token in time.
+type AdmissionRefused struct {
+	Ticket            model.Ticket
+	Reason            model.Reason
+	RetryAfterSeconds int
+}
+
+func (AdmissionAsked) isEvent()   {}
+func (AdmissionDropped) isEvent() {}
+func (AdmissionGranted) isEvent() {}
+func (AdmissionRefused) isEvent() {}
--- /dev/null
+++ b/core/flow/flow.go
@@ -0,0 +1,430 @@
+// Package flow is the decision part for the life cycle of a request: from its
+// arrival over admission, claim and attempts to its end.
+package flow
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/benbjohnson/immutable"
+
+	"caroblane/core/conf"
+	"caroblane/core/effect"
+	"caroblane/core/event"
+	"caroblane/core/model"
+	"caroblane/core/step"
+)
+
+const (
+	maxAttempts = 3
+	maxOpen     = 65536
+)
+
+// Out is what this part produces in a step.
+type Out = step.Out[event.Event, effect.Effect]
+
+// Facts are the values of other parts that flow decides on.
+type Facts struct {
+	Conf conf.State
+	// Fresh tells that this node may admit requests.
+	Fresh bool
+}
+
+type phase int
+
+const (
+	admitting phase = iota
+	claiming
+	running
+	recording
+)
+
+// call is an open request.
+type call struct {
+	request  model.Request
+	account  model.AccountName
+	priority int
+	phase    phase
+	// mustClaim marks a request that may not be repeated.
+	mustClaim bool
+	upstreams []model.UpstreamName
+	attempt   int
+	upstream  model.UpstreamName
+	tried     []model.UpstreamName
+}
+
+// State holds the open requests of this node.
+type State struct {
+	draining bool
+	open     *immutable.Map[model.Ticket, call]
+	// load counts this node's running attempts on each upstream.
+	load *immutable.Map[model.UpstreamName, int]
+}
+
+// New returns a state without requests.
+func New() State {
+	return State{
+		open: immutable.NewMap[model.Ticket, call](ticketHasher{}),
+		load: immutable.NewMap[model.UpstreamName, int](nil),
+	}
+}
+
+// Apply takes traffic events and the answers of the other parts.
+func (s State) Apply(in step.Input[event.Event], facts Facts) (State, Out) {
+	var out Out
+	switch e := in.Event.(type) {
+	case event.RequestArrived:
+		s = s.arrived(e, facts, &out)
+	case event.AdmissionGranted:
+		s = s.granted(e.Ticket, facts, &out)
+	case event.AdmissionRefused:
+		s = s.refused(e.Ticket, refusal(e.Reason, model.NotRun, e.RetryAfterSeconds), &out)
+	case event.ClaimWon:
+		s = s.dispatched(e.Ticket, facts, &out)
+	case event.ClaimRefused:
+		s = s.claimRefused(e, &out)
+	case event.ClaimRecorded:
+		s = s.finished(e.Ticket, &out)
+	case event.AttemptEnded:
+		s = s.attemptEnded(e, facts, &out)
+	case event.CallerGone:
+		s = s.callerGone(e.Ticket, &out)
+	case event.DrainAsked:
+		s.draining = true
+	case event.KeyChanged:
+		s = s.keyChanged(e, &out)
+	}
+	return s, out
+}
+
+// Draining tells whether the node takes no new requests.
+func (s State) Draining() bool { return s.draining }
+
+// Next returns the zero time: the limit part keeps the admission deadlines.
+func (s State) Next() time.Time { return time.Time{} }
+
+// Open returns the number of open requests.
+func (s State) Open() int { return s.open.Len() }
+
+func (s State) arrived(e event.RequestArrived, facts Facts, out *Out) State {
+	c, reason, ok := s.check(e.Request, facts)
+	if !ok {
+		refuse(e.Ticket, refusal(reason, model.NotRun, retryAfter(reason)), out)
+		return s
+	}
+	s.open = s.open.Set(e.Ticket, c)
+	if c.account == "" {
+		return s.granted(e.Ticket, facts, out)
+	}
+	out.Raise(event.AdmissionAsked{
+		Ticket:   e.Ticket,
+		Account:  c.account,
+		Priority: c.priority,
+		AdmitBy:  e.Request.AdmitBy,
+	})
+	return s
+}
+
+// check decides whether a request may enter.
+func (s State) check(request model.Request, facts Facts) (call, model.Reason, bool) {
+	c := call{request: request}
+	switch {
+	case s.draining:
+		return c, model.Draining, false
+	case !facts.Fresh:
+		return c, model.NotFresh, false
+	case s.open.Len() >= maxOpen:
+		return c, model.Overloaded, false
+	}
+	open := false
+	if request.Kind == model.RequestPlain {
+		route, ok := facts.Conf.Route(request.Path)
+		if !ok {
+			return c, model.UnknownRoute, false
+		}
+		c.mustClaim = !route.Repeatable
+		c.upstreams = route.Upstreams
+		open = route.Open
+	}
+	if !open {
+		reason, ok := c.authorize(request, facts.Conf)
+		if !ok {
+			return c, reason, false
+		}
+	}
+	if request.Kind == model.RequestChat {
+		if _, ok := facts.Conf.Model(request.Model); !ok {
+			return c, model.UnknownModel, false
+		}
+		c.upstreams = facts.Conf.UpstreamsOf(request.Model)
+	}
+	if c.mustClaim && request.IdempotencyKey == "" {
+		return c, model.MissingIdempotencyKey, false
+	}
+	return c, 0, true
+}
+
+// authorize sets the account that the request's key belongs to.
+func (c *call) authorize(request model.Request, config conf.State) (model.Reason, bool) {
+	if !request.HasKey {
+		return model.MissingKey, false
+	}
+	key, ok := config.Key(request.KeyHash)
+	if !ok {
+		return model.KeyUnknown, false
+	}
+	if key.State == model.KeyWithdrawn {
+		return model.KeyWasWithdrawn, false
+	}
+	template, ok := config.Template(key.Account)
+	if !ok {
+		return model.KeyUnknown, false
+	}
+	if request.Kind == model.RequestChat && !allows(template, request.Model) {
+		return model.ModelNotAllowed, false
+	}
+	c.account = key.Account
+	c.priority = template.Priority
+	return 0, true
+}
+
+func allows(template model.Template, name model.ModelName) bool {
+	if len(template.Models) == 0 {
+		return true
+	}
+	for _, m := range template.Models {
+		if m == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (s State) granted(ticket model.Ticket, facts Facts, out *Out) State {
+	c, ok := s.open.Get(ticket)
+	if !ok {
+		return s
+	}
+	if !c.mustClaim {
+		return s.dispatched(ticket, facts, out)
+	}
+	c.phase = claiming
+	s.open = s.open.Set(ticket, c)
+	out.Raise(event.ClaimAsked{
+		Ticket:         ticket,
+		RequestID:      c.request.ID,
+		Account:        c.account,
+		IdempotencyKey: c.request.IdempotencyKey,
+		BodyHash:       c.request.BodyHash,
+	})
+	return s
+}
+
+// dispatched sends the request to the upstream with the least load of this
+// node that was not tried yet.
+func (s State) dispatched(ticket model.Ticket, facts Facts, out *Out) State {
+	c, ok := s.open.Get(ticket)
+	if !ok {
+		return s
+	}
+	upstream, ok := s.place(c, facts.Conf)
+	if !ok {
+		return s.failed(ticket, c, refusal(model.NoUpstream, model.NotRun, 1), out)
+	}
+	c.phase = running
+	c.attempt++
+	c.upstream = upstream.Name
+	c.tried = append(c.tried[:len(c.tried):len(c.tried)], upstream.Name)
+	s.open = s.open.Set(ticket, c)
+	s = s.withLoad(upstream.Name, 1)
+	out.Emit(effect.Dispatch{
+		Ticket:     ticket,
+		Attempt:    c.attempt,
+		Upstream:   upstream,
+		Priority:   c.priority,
+		MustRecord: c.mustClaim,
+	})
+	return s
+}
+
+func (s State) place(c call, config conf.State) (model.Upstream, bool) {
+	var best model.Upstream
+	bestLoad, found := 0, false
+	for _, name := range c.upstreams {
+		upstream, ok := config.Upstream(name)
+		if !ok || upstream.State != model.UpstreamActive || c.hasTried(name) {
+			continue
+		}
+		load, _ := s.load.Get(name)
+		if !found || load*best.Slots < bestLoad*upstream.Slots {
+			best, bestLoad, found = upstream, load, true
+		}
+	}
+	return best, found
+}
+
+func (c call) hasTried(name model.UpstreamName) bool {
+	for _, t := range c.tried {
+		if t == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (s State) attemptEnded(e event.AttemptEnded, facts Facts, out *Out) State {
+	c, ok := s.open.Get(e.Ticket)
+	if !ok || c.phase != running || e.Attempt != c.attempt {
+		return s
+	}
+	s = s.withLoad(c.upstream, -1)
+	if e.Outcome == model.Completed {
+		return s.completed(e, c, out)
+	}
+	if e.Outcome == model.CallerLeft {
+		return s.failed(e.Ticket, c, refusal(model.UpstreamLost, model.OutcomeUnknown, 0), out)
+	}
+	notRun := e.Outcome == model.NotSent || e.Outcome == model.Rejected
+	mayRepeat := notRun || (!c.mustClaim && e.TokensPassed == 0)
+	if mayRepeat && c.attempt < maxAttempts {
+		out.Emit(effect.CountRetry{Reason: retryReason(e.Outcome)})
+		return s.dispatched(e.Ticket, facts, out)
+	}
+	if notRun {
+		return s.failed(e.Ticket, c, refusal(model.UpstreamLost, model.NotRun, 1), out)
+	}
+	return s.failed(e.Ticket, c, refusal(model.UpstreamLost, model.OutcomeUnknown, 0), out)
+}
+
+func (s State) completed(e event.AttemptEnded, c call, out *Out) State {
+	if !c.mustClaim {
+		return s.finished(e.Ticket, out)
+	}
+	c.phase = recording
+	s.open = s.open.Set(e.Ticket, c)
+	out.Raise(event.ClaimEnded{Ticket: e.Ticket, Known: true, Answer: e.Answer})
+	return s
+}
+
+// failed ends a request that may hold a claim.
+func (s State) failed(ticket model.Ticket, c call, r model.Refusal, out *Out) State {
+	if c.mustClaim {
+		out.Raise(event.ClaimEnded{Ticket: ticket, NotRun: r.Execution == model.NotRun})
+	}
+	return s.refused(ticket, r, out)
+}
+
+func (s State) claimRefused(e event.ClaimRefused, out *Out) State {
+	if _, ok := s.open.Get(e.Ticket); !ok {
+		return s
+	}
+	if e.Replay {
+		s.open = s.open.Delete(e.Ticket)
+		out.Emit(effect.Replay{Ticket: e.Ticket, Answer: e.Answer})
+		return s
+	}
+	execution := model.NotRun
+	if e.Reason == model.EarlierOutcomeUnknown {
+		execution = model.OutcomeUnknown
+	}
+	return s.refused(e.Ticket, refusal(e.Reason, execution, retryAfter(e.Reason)), out)
+}
+
+func (s State) finished(ticket model.Ticket, out *Out) State {
+	if _, ok := s.open.Get(ticket); !ok {
+		return s
+	}
+	s.open = s.open.Delete(ticket)
+	out.Emit(effect.Finish{Ticket: ticket})
+	return s
+}
+
+func (s State) refused(ticket model.Ticket, r model.Refusal, out *Out) State {
+	if _, ok := s.open.Get(ticket); !ok {
+		return s
+	}
+	s.open = s.open.Delete(ticket)
+	refuse(ticket, r, out)
+	return s
+}
+
+func (s State) callerGone(ticket model.Ticket, out *Out) State {
+	c, ok := s.open.Get(ticket)
+	if !ok || c.phase != admitting {
+		// A running attempt reports its own end.
+		return s
+	}
+	out.Raise(event.AdmissionDropped{Ticket: ticket})
+	s.open = s.open.Delete(ticket)
+	return s
+}
+
+// keyChanged ends the open requests of a key that is no longer active.
+func (s State) keyChanged(e event.KeyChanged, out *Out) State {
+	if e.Old.Hash == (model.KeyHash{}) {
+		return s
+	}
+	if e.New.Hash == e.Old.Hash && e.New.State == model.KeyActive && e.New.Account == e.Old.Account {
+		return s
+	}
+	for itr := s.open.Iterator(); !itr.Done(); {
+		ticket, c, _ := itr.Next()
+		if !c.request.HasKey || c.request.KeyHash != e.Old.Hash {
+			continue
+		}
+		if c.phase == running || c.phase == recording {
+			out.Emit(effect.Cut{Ticket: ticket, Refusal: refusal(model.KeyWasWithdrawn, model.OutcomeUnknown, 0)})
+			continue
+		}
+		out.Raise(event.AdmissionDropped{Ticket: ticket})
+		s = s.failed(ticket, c, refusal(model.KeyWasWithdrawn, model.NotRun, 0), out)
+	}
+	return s
+}
+
+func (s State) withLoad(name model.UpstreamName, change int) State {
+	load, _ := s.load.Get(name)
+	s.load = s.load.Set(name, load+change)
+	return s
+}
+
+func refuse(ticket model.Ticket, r model.Refusal, out *Out) {
+	out.Emit(effect.CountRefusal{Reason: r.Reason}, effect.Refuse{Ticket: ticket, Refusal: r})
+}
+
+func refusal(reason model.Reason, execution model.Execution, retryAfterSeconds int) model.Refusal {
+	return model.Refusal{
+		Reason:            reason,
+		Execution:         execution,
+		RetryAfterSeconds: retryAfterSeconds,
+		Message:           fmt.Sprintf("request ended with %s (%s)", reason, execution),
+	}
+}
+
+func retryAfter(reason model.Reason) int {
+	switch reason {
+	case model.ClaimUnavailable, model.Draining, model.NotFresh, model.Overloaded:
+		return 1
+	default:
+		return 0
+	}
+}
+
+func retryReason(outcome model.Outcome) model.RetryReason {
+	switch outcome {
+	case model.NotSent:
+		return model.RetryNotSent
+	case model.Rejected:
+		return model.RetryRejected
+	default:
+		return model.RetryBroken
+	}
+}
+
+type ticketHasher struct{}
+
+func (ticketHasher) Equal(a, b model.Ticket) bool { return a == b }
+
+func (ticketHasher) Hash(ticket model.Ticket) uint32 {
+	return uint32(uint64(ticket) * 0x9e3779b97f4a7c15 >> 32)
+}
--- /dev/null
+++ b/core/model/names.go
@@ -0,0 +1,42 @@
+// Package model holds the domain values that all parts share.
+package model
+
+// AccountName names a client account.
+type AccountName string
+
+// Epoch is a fencing number. It rises with each change of a lease's holder.
+type Epoch uint64
+
+// Incarnation identifies one run of a node's process.
+type Incarnation uint64
+
+// KeyHash is the SHA-256 of a caller's key.
+type KeyHash [32]byte
+
+// ModelName names a model.
+type ModelName string
+
+// NodeName names an entry node.
+type NodeName string
+
+// RegionName names a region.
+type RegionName string
+
+// RequestID identifies a request towards callers and upstreams.
+type RequestID string
+
+// RouteName names a route.
+type RouteName string
+
+// Ticket identifies an open request within one process.
+type Ticket uint64
+
+// UpstreamName names an upstream.
+type UpstreamName string
+
+// Version is the revision of the platform's store at which an object was last
+// written. It only rises.
+type Version uint64
+
+// ZoneName names an availability zone.
+type ZoneName string
--- /dev/null
+++ b/core/node/node.go
@@ -0,0 +1,82 @@
+// Package node is the root reducer of the entry daemon. It folds each event,
+// and the events that its parts raise, through all parts.
+package node
+
+import (
+	"time"
+
+	"caroblane/core/claim"
+	"caroblane/core/conf"
+	"caroblane/core/effect"
+	"caroblane/core/event"
+	"caroblane/core/flow"
+	"caroblane/core/limit"
+	"caroblane/core/peers"
+	"caroblane/core/step"
+)
+
+// Input is what the reducer takes.
+type Input = step.Input[event.Event]
+
+// State is the whole control state of an entry node.
+type State struct {
+	conf  conf.State
+	peers peers.State
+	limit limit.State
+	claim claim.State
+	flow  flow.State
+}
+
+// New returns the state of a started node.
+func New(members peers.State, limits limit.State, claims claim.State) State {
+	return State{conf: conf.New(), peers: members, limit: limits, claim: claims, flow: flow.New()}
+}
+
+// Apply returns the next state and the effects of one event.
+func (s State) Apply(in Input) (State, []effect.Effect) {
+	var effects []effect.Effect
+	pending := []event.Event{in.Event}
+	for len(pending) > 0 {
+		next := in.With(pending[0])
+		pending = pending[1:]
+		var out step.Out[event.Event, effect.Effect]
+		s, out = s.fold(next)
+		effects = append(effects, out.Effects...)
+		pending = append(pending, out.Raised...)
+	}
+	return s, effects
+}
+
+// Conf returns the configuration in force.
+func (s State) Conf() conf.State { return s.conf }
+
+// Flow returns the open requests.
+func (s State) Flow() flow.State { return s.flow }
+
+// Next returns when the node needs a timer event.
+func (s State) Next() time.Time {
+	return step.Earliest(s.peers.Next(), s.limit.Next(), s.claim.Next(), s.flow.Next())
+}
+
+// Peers returns the members and the freshness of the node.
+func (s State) Peers() peers.State { return s.peers }
+
+// fold passes one event through the parts in order.
+func (s State) fold(in Input) (State, step.Out[event.Event, effect.Effect]) {
+	var all, out step.Out[event.Event, effect.Effect]
+	collect := func() {
+		all.Emit(out.Effects...)
+		all.Raise(out.Raised...)
+	}
+	s.conf, out = s.conf.Apply(in)
+	collect()
+	s.peers, out = s.peers.Apply(in)
+	collect()
+	s.limit, out = s.limit.Apply(in)
+	collect()
+	s.claim, out = s.claim.Apply(in)
+	collect()
+	s.flow, out = s.flow.Apply(in, flow.Facts{Conf: s.conf, Fresh: s.peers.Fresh(in.At)})
+	collect()
+	return s, all
+}
