Add the caller API and the relay to upstreams

Cause: a request needs a path from the caller to an upstream and back, with the decisions left to the reducer.

Change: io/front serves chat completions by ogen from an OpenAPI document and plain routes by net/http; each request is a session that posts events and carries out the replies of its ticket. io/relay sends attempts, checks the id line of each server-sent event (request, attempt, token offset) and the total at the end.

--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -180,7 +180,7 @@
 	if !ok {
 		return model.KeyUnknown, false
 	}
-	if request.Kind == model.RequestChat && !allows(template, request.Model) {
+	if request.Kind == model.RequestChat && !template.Allows(request.Model) {
 		return model.ModelNotAllowed, false
 	}
 	c.account = key.Account
@@ -188,18 +188,6 @@
 	return 0, true
 }
 
-func allows(template model.Template, name model.ModelName) bool {
-	if len(template.Models) == 0 {
-		return true
-	}
-	for _, m := range template.Models {
-		if m == name {
-			return true
-		}
-	}
-	return false
-}
-
 func (s State) granted(ticket model.Ticket, facts Facts, out *Out) State {
 	c, ok := s.open.Get(ticket)
 	if !ok {
@@ -355,8 +343,7 @@
 		return s
 	}
 	out.Raise(event.AdmissionDropped{Ticket: ticket})
-	s.open = s.open.Delete(ticket)
-	return s
+	return s.finished(ticket, out)
 }
 
 // keyChanged ends the open requests of a key that is no longer active.
--- a/core/model/config.go
+++ b/core/model/config.go
@@ -1,5 +1,7 @@
 package model
 
+import "slices"
+
 // Change is one write of a configuration object.
 type Change struct {
 	Kind    Kind
@@ -82,3 +84,8 @@
 	// Slots is the number of requests that the upstream runs at once.
 	Slots int
 }
+
+// Allows tells whether the account may use a model.
+func (t Template) Allows(name ModelName) bool {
+	return len(t.Models) == 0 || slices.Contains(t.Models, name)
+}
--- /dev/null
+++ b/io/front/front.go
@@ -0,0 +1,205 @@
+// Package front is the HTTP API towards callers: chat completions by the
+// OpenAPI document of this package, and plain services by configured routes.
+package front
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"caroblane/core/conf"
+	"caroblane/core/event"
+	"caroblane/core/model"
+	"caroblane/io/desk"
+	"caroblane/io/front/oasapi"
+	"caroblane/io/relay"
+)
+
+// Errors is the namespace of this layer's errors.
+var Errors = errorx.NewNamespace("front")
+
+// Control is the control loop as traffic sees it.
+type Control interface {
+	// Conf returns the configuration in force.
+	Conf() conf.State
+	// Offer queues an event unless the queue is full.
+	Offer(event.Event) error
+	// Post queues an event and waits for room.
+	Post(context.Context, event.Event) error
+}
+
+// Observer takes measurements of answers.
+type Observer interface {
+	// FirstToken reports the time from the request to the first byte passed on.
+	FirstToken(time.Duration)
+	// BetweenTokens reports the time between two writes of one stream.
+	BetweenTokens(time.Duration)
+	// Refused counts a request that was refused before it reached the reducer.
+	Refused(model.Reason)
+}
+
+// Options are the settings of a Server.
+type Options struct {
+	MaxBody       int64
+	AdmitWithin   time.Duration
+	RequestWithin time.Duration
+	// NodeID distinguishes the request ids of this process.
+	NodeID string
+}
+
+// Server answers callers.
+type Server struct {
+	control  Control
+	desk     *desk.Desk
+	relay    *relay.Client
+	observer Observer
+	options  Options
+	now      func() time.Time
+	api      http.Handler
+}
+
+type contextKey int
+
+const (
+	bodyContext contextKey = iota
+	headerContext
+	keyContext
+	requestIDContext
+)
+
+// New returns a server.
+func New(
+	control Control, replies *desk.Desk, client *relay.Client, observer Observer, options Options, now func() time.Time,
+) (*Server, error) {
+	s := &Server{control: control, desk: replies, relay: client, observer: observer, options: options, now: now}
+	api, err := oasapi.NewServer(chatHandler{s}, chatHandler{s}, keyHandler{},
+		oasapi.WithErrorHandler(s.decodeFailed),
+		oasapi.WithNotFound(s.servePlain),
+		oasapi.WithMethodNotAllowed(s.methodNotAllowed))
+	if err != nil {
+		return nil, Errors.NewType("setup").Wrap(err, "caller API could not be built")
+	}
+	s.api = api
+	return s, nil
+}
+
+// ServeHTTP reads the body up to its limit and passes the request on.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := s.newRequestID()
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.options.MaxBody))
+	if err != nil {
+		reason := model.MalformedRequest
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			reason = model.BodyTooLarge
+		}
+		s.reject(w, id, reason, err.Error())
+		return
+	}
+	ctx := context.WithValue(r.Context(), requestIDContext, id)
+	ctx = context.WithValue(ctx, bodyContext, body)
+	ctx = context.WithValue(ctx, headerContext, r.Header)
+	r = r.WithContext(ctx)
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	r.ContentLength = int64(len(body))
+	s.api.ServeHTTP(w, r)
+}
+
+// newRequestID returns an identifier that no other request has.
+func (s *Server) newRequestID() model.RequestID {
+	var random [12]byte
+	for i := 0; i < len(random); i += 4 {
+		v := rand.Uint32()
+		random[i], random[i+1], random[i+2], random[i+3] = byte(v), byte(v>>8), byte(v>>16), byte(v>>24)
+	}
+	return model.RequestID(s.options.NodeID + "-" + hex.EncodeToString(random[:]))
+}
+
+// reject answers a request that does not reach the reducer.
+func (s *Server) reject(w http.ResponseWriter, id model.RequestID, reason model.Reason, message string) {
+	s.observer.Refused(reason)
+	writeRefusal(w, id, model.Refusal{Reason: reason, Execution: model.NotRun, Message: message})
+}
+
+func (s *Server) methodNotAllowed(w http.ResponseWriter, r *http.Request, allowed string) {
+	w.Header().Set("Allow", allowed)
+	s.reject(w, requestID(r.Context()), model.MalformedRequest, "method "+r.Method+" is not one of "+allowed)
+}
+
+func requestID(ctx context.Context) model.RequestID {
+	id, _ := ctx.Value(requestIDContext).(model.RequestID)
+	return id
+}
+
+// bearerKey returns the hash of the caller's key.
+func bearerKey(header http.Header) (model.KeyHash, bool) {
+	scheme, token, ok := strings.Cut(header.Get("Authorization"), " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") || token == "" {
+		return model.KeyHash{}, false
+	}
+	return sha256.Sum256([]byte(token)), true
+}
+
+// writeRefusal answers with the typed error body.
+func writeRefusal(w http.ResponseWriter, id model.RequestID, refusal model.Refusal) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("X-Request-Id", string(id))
+	if refusal.RetryAfterSeconds > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(refusal.RetryAfterSeconds))
+	}
+	w.WriteHeader(statusOf(refusal))
+	_, _ = w.Write(errorBody(id, refusal))
+}
+
+func errorBody(id model.RequestID, refusal model.Refusal) []byte {
+	body := oasapi.Error{
+		Reason:    refusal.Reason.String(),
+		Execution: oasapi.ErrorExecution(refusal.Execution.String()),
+		Message:   refusal.Message,
+		RequestId: string(id),
+	}
+	data, err := body.MarshalJSON()
+	if err != nil {
+		return []byte("{}")
+	}
+	return data
+}
+
+func statusOf(refusal model.Refusal) int {
+	switch refusal.Reason {
+	case model.BodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case model.EarlierOutcomeUnknown, model.IdempotencyMismatch:
+		return http.StatusConflict
+	case model.KeyUnknown, model.KeyWasWithdrawn, model.MissingKey:
+		return http.StatusUnauthorized
+	case model.MalformedRequest, model.MissingIdempotencyKey:
+		return http.StatusBadRequest
+	case model.ModelNotAllowed:
+		return http.StatusForbidden
+	case model.RateLimited:
+		return http.StatusTooManyRequests
+	case model.CrashSuspect:
+		return http.StatusUnprocessableEntity
+	case model.UnknownModel, model.UnknownRoute:
+		return http.StatusNotFound
+	case model.StreamTruncated, model.UpstreamFailed, model.UpstreamLost:
+		return http.StatusBadGateway
+	case model.DeadlineExceeded:
+		return http.StatusGatewayTimeout
+	case model.Internal:
+		return http.StatusInternalServerError
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/io/relay/stream.go
@@ -0,0 +1,205 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"caroblane/core/model"
+)
+
+const maxEventLine = 1 << 20
+
+var (
+	dataField = []byte("data:")
+	doneData  = []byte("[DONE]")
+	idField   = []byte("id:")
+)
+
+// eventID is the position of an event in the answer to a request.
+type eventID struct {
+	request model.RequestID
+	attempt int
+	// offset is the number of tokens up to and including the event.
+	offset int
+}
+
+// String returns the text of an SSE id field.
+func (id eventID) String() string {
+	return string(id.request) + "/" + strconv.Itoa(id.attempt) + "/" + strconv.Itoa(id.offset)
+}
+
+// reader splits a body into server-sent events.
+type reader struct {
+	body *bufio.Reader
+	line []byte
+}
+
+// event is one server-sent event. Its slices are valid until the next call.
+type event struct {
+	id   []byte
+	data []byte
+}
+
+// stream passes on server-sent events that belong to the request, in order and
+// without a gap, and checks the total at the end.
+func (a Attempt) stream(ctx context.Context, response *http.Response, sink Sink) Result {
+	events := reader{body: bufio.NewReaderSize(response.Body, copyBuffer)}
+	prefix := eventPrefix(a.RequestID, a.Number)
+	passed := a.Resume
+	if a.Resume == 0 {
+		if err := sink.Begin(response.StatusCode, response.Header); err != nil {
+			return Result{Outcome: model.CallerLeft, Err: err}
+		}
+	}
+	var last []byte
+	for {
+		e, err := events.next()
+		if err != nil {
+			return a.broken(ctx, passed, err)
+		}
+		offset, own := ownOffset(e.id, prefix)
+		if !own {
+			continue
+		}
+		done := bytes.Equal(e.data, doneData)
+		if !done {
+			if offset != passed && offset != passed+1 {
+				return a.broken(ctx, passed, truncated.New("event at token %d follows token %d", offset, passed))
+			}
+			last = append(last[:0], e.data...)
+		} else if total, ok := totalTokens(last); !ok || total != passed {
+			return a.broken(ctx, passed, truncated.New("answer ended after %d tokens of %d", passed, total))
+		}
+		if err := writeEvent(sink, e.data); err != nil {
+			return Result{Outcome: model.CallerLeft, TokensPassed: passed, Err: err}
+		}
+		passed = max(passed, offset)
+		if done || events.body.Buffered() == 0 {
+			if err := sink.Flush(); err != nil {
+				return Result{Outcome: model.CallerLeft, TokensPassed: passed, Err: err}
+			}
+		}
+		if done {
+			return Result{Outcome: model.Completed, TokensPassed: passed}
+		}
+	}
+}
+
+func eventPrefix(request model.RequestID, attempt int) string {
+	return string(request) + "/" + strconv.Itoa(attempt) + "/"
+}
+
+// ownOffset returns the token offset of an event id, and whether the event
+// belongs to the attempt with the given prefix.
+func ownOffset(id []byte, prefix string) (int, bool) {
+	if len(id) <= len(prefix) || string(id[:len(prefix)]) != prefix {
+		return 0, false
+	}
+	offset := 0
+	for _, c := range id[len(prefix):] {
+		if c < '0' || c > '9' || offset > 1<<30 {
+			return 0, false
+		}
+		offset = offset*10 + int(c-'0')
+	}
+	return offset, true
+}
+
+// next returns the next event that has data.
+func (r *reader) next() (event, error) {
+	var e event
+	r.line = r.line[:0]
+	for {
+		line, err := r.readLine()
+		if err != nil {
+			return event{}, err
+		}
+		switch {
+		case len(line) == 0:
+			if e.data != nil {
+				return e, nil
+			}
+			e.id = nil
+		case bytes.HasPrefix(line, dataField):
+			e.data = bytes.TrimPrefix(line[len(dataField):], []byte(" "))
+		case bytes.HasPrefix(line, idField):
+			e.id = bytes.TrimPrefix(line[len(idField):], []byte(" "))
+		}
+	}
+}
+
+// readLine returns a line without its end. Lines of one event are kept one
+// after the other in r.line.
+func (r *reader) readLine() ([]byte, error) {
+	start := len(r.line)
+	for {
+		part, err := r.body.ReadSlice('\n')
+		r.line = append(r.line, part...)
+		if err == nil {
+			return bytes.TrimRight(r.line[start:], "\r\n"), nil
+		}
+		if errors.Is(err, io.EOF) {
+			return nil, io.ErrUnexpectedEOF
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return nil, err
+		}
+		if len(r.line) > maxEventLine {
+			return nil, truncated.New("event is longer than %d bytes", maxEventLine)
+		}
+	}
+}
+
+// totalTokens returns the number of tokens that the last chunk of an answer
+// states.
+func totalTokens(data []byte) (int, bool) {
+	var chunk struct {
+		Usage *struct {
+			CompletionTokens int `json:"completion_tokens"`
+		} `json:"usage"`
+	}
+	if json.Unmarshal(data, &chunk) != nil || chunk.Usage == nil {
+		return 0, false
+	}
+	return chunk.Usage.CompletionTokens, true
+}
+
+func writeEvent(sink Sink, data []byte) error {
+	for _, part := range [][]byte{[]byte("data: "), data, []byte("\n\n")} {
+		if _, err := sink.Write(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// hopHeaders are the headers that end at each connection.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// ForwardHeader returns the headers of a caller that an upstream may see. The
+// caller's key is not among them.
+func ForwardHeader(header http.Header) http.Header {
+	forwarded := header.Clone()
+	for _, listed := range header.Values("Connection") {
+		for name := range strings.SplitSeq(listed, ",") {
+			forwarded.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		forwarded.Del(name)
+	}
+	for _, name := range []string{"Authorization", "Cookie", "X-Api-Key", headerRequestID, headerAttempt, headerPriority, headerLastEvent} {
+		forwarded.Del(name)
+	}
+	return forwarded
+}
