--- /dev/null
+++ b/io/meter/meter_test.go
@@ -0,0 +1,59 @@
+package meter_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"caroblane/core/effect"
+	"caroblane/core/event"
+	"caroblane/core/model"
+	"caroblane/io/meter"
+)
+
+// TestScrape guards against reasons without a counter, counters of the wrong
+// reason, and gauges that do not follow the reading.
+func TestScrape(t *testing.T) {
+	reading := meter.Reading{}
+	m := meter.New(func() meter.Reading { return reading })
+	for _, reason := range model.Reasons() {
+		if want := `caroblane_refusals_total{reason="` + reason.String() + `"} 0`; !strings.Contains(scrape(m), want) {
+			t.Errorf("no %s", want)
+		}
+	}
+	m.Execute(context.Background(), effect.CountRefusal{Reason: model.RateLimited})
+	m.Execute(context.Background(), effect.CountRetry{Reason: model.RetryBroken})
+	m.Execute(context.Background(), effect.CountRefusal{Reason: -1})
+	m.CountEvent(event.Tick{})
+	m.CountEvent(event.Tick{})
+	m.CountEffect(effect.Finish{})
+	m.FirstToken(400 * time.Millisecond)
+	m.BetweenTokens(51 * time.Millisecond)
+	reading = meter.Reading{Version: 7, Fresh: true, LeaseHeld: true, Open: 3, Queued: 4, Faults: 5}
+	text := scrape(m)
+	for _, want := range []string{
+		`caroblane_refusals_total{reason="RateLimited"} 1`,
+		`caroblane_retries_total{reason="RetryBroken"} 1`,
+		`caroblane_retries_total{reason="RetryResumed"} 0`,
+		`caroblane_control_events_total{event="Tick"} 2`,
+		`caroblane_control_effects_total{effect="Finish"} 1`,
+		`caroblane_first_token_seconds_bucket{le="0.3"} 0`,
+		`caroblane_first_token_seconds_bucket{le="0.4"} 1`,
+		`caroblane_between_tokens_seconds_bucket{le="0.051"} 1`,
+		"caroblane_config_version 7", "caroblane_fresh 1", "caroblane_lease_held 1",
+		"caroblane_open_requests 3", "caroblane_control_queue 4", "caroblane_config_faults 5",
+	} {
+		if !strings.Contains(text, want+"\n") {
+			t.Errorf("no %s in\n%s", want, text)
+		}
+	}
+}
+
+func scrape(m *meter.Meter) string {
+	answer := httptest.NewRecorder()
+	m.Handler().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	return answer.Body.String()
+}
