Place requests by prefix affinity and sampled load, resume broken streams

Cause: the first placement read every upstream of a model from the persistent map for each request; at 1,900 upstreams and 6 models that is 317 look-ups. A stream that broke after the first token ended, although its engine may still hold the tokens.

Change: core/place holds generic policies: rendezvous hashing of the first prompt piece with a load bound, and the least loaded of 8 samples otherwise.

Placement by affinity is not measured against sampling alone yet.

--- a/core/conf/conf.go
+++ b/core/conf/conf.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/benbjohnson/immutable"
+	"github.com/cespare/xxhash/v2"
 
 	"caroblane/core/effect"
 	"caroblane/core/event"
@@ -36,6 +37,12 @@
 	fault      string
 }
 
+// Placeable is an upstream with the hash that placement needs.
+type Placeable struct {
+	model.Upstream
+	NameHash uint64
+}
+
 // State is the configuration in force. The zero value is not usable.
 type State struct {
 	version   model.Version
@@ -43,8 +50,10 @@
 	keys      *immutable.Map[model.KeyHash, model.Key]
 	templates *immutable.Map[model.AccountName, model.Template]
 	upstreams *immutable.Map[model.UpstreamName, model.Upstream]
-	// byModel lists the upstreams of a model in order of their names.
-	byModel *immutable.Map[model.ModelName, []model.UpstreamName]
+	// byModel lists the upstreams of a model in order of their names. The lists
+	// hold the upstreams themselves: placement reads hundreds of them for one
+	// request.
+	byModel *immutable.Map[model.ModelName, []Placeable]
 	models  *immutable.Map[model.ModelName, model.Model]
 	// routes is sorted by falling length of the prefix.
 	routes []model.Route
@@ -58,7 +67,7 @@
 		keys:      immutable.NewMap[model.KeyHash, model.Key](hashHasher{}),
 		templates: immutable.NewMap[model.AccountName, model.Template](nil),
 		upstreams: immutable.NewMap[model.UpstreamName, model.Upstream](nil),
-		byModel:   immutable.NewMap[model.ModelName, []model.UpstreamName](nil),
+		byModel:   immutable.NewMap[model.ModelName, []Placeable](nil),
 		models:    immutable.NewMap[model.ModelName, model.Model](nil),
 	}
 }
@@ -144,10 +153,11 @@
 	return s.upstreams.Get(name)
 }
 
-// UpstreamsOf returns the names of the upstreams that serve a model.
-func (s State) UpstreamsOf(name model.ModelName) []model.UpstreamName {
-	names, _ := s.byModel.Get(name)
-	return names
+// UpstreamsOf returns the upstreams that serve a model. The caller must not
+// change the list.
+func (s State) UpstreamsOf(name model.ModelName) []Placeable {
+	list, _ := s.byModel.Get(name)
+	return list
 }
 
 // Version returns the version in force.
@@ -257,9 +267,9 @@
 func (s State) withUpstream(name model.UpstreamName, old, value any) State {
 	if upstream, ok := old.(model.Upstream); ok {
 		for _, m := range upstream.Models {
-			names, _ := s.byModel.Get(m)
-			names = slices.DeleteFunc(slices.Clone(names), func(n model.UpstreamName) bool { return n == name })
-			s.byModel = s.byModel.Set(m, names)
+			list, _ := s.byModel.Get(m)
+			list = slices.DeleteFunc(slices.Clone(list), func(p Placeable) bool { return p.Name == name })
+			s.byModel = s.byModel.Set(m, list)
 		}
 	}
 	upstream, ok := value.(model.Upstream)
@@ -269,11 +279,12 @@
 	}
 	upstream.Name = name
 	s.upstreams = s.upstreams.Set(name, upstream)
+	placeable := Placeable{Upstream: upstream, NameHash: xxhash.Sum64String(string(name))}
 	for _, m := range upstream.Models {
-		names, _ := s.byModel.Get(m)
-		names = append(slices.Clone(names), name)
-		slices.Sort(names)
-		s.byModel = s.byModel.Set(m, names)
+		list, _ := s.byModel.Get(m)
+		list = append(slices.Clone(list), placeable)
+		slices.SortFunc(list, func(a, b Placeable) int { return cmp.Compare(a.Name, b.Name) })
+		s.byModel = s.byModel.Set(m, list)
 	}
 	return s
 }
--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -28,6 +28,8 @@
 	Conf conf.State
 	// Fresh tells that this node may admit requests.
 	Fresh bool
+	// Draw is a random number for this event.
+	Draw uint64
 }
 
 type phase int
@@ -47,10 +49,13 @@
 	phase    phase
 	// mustClaim marks a request that may not be repeated.
 	mustClaim bool
-	upstreams []model.UpstreamName
-	attempt   int
-	upstream  model.UpstreamName
-	tried     []model.UpstreamName
+	// services are the upstreams of the route of a plain request.
+	services []model.UpstreamName
+	attempt  int
+	upstream model.UpstreamName
+	tried    []model.UpstreamName
+	// resumed is the number of tokens that the caller had at the last resume.
+	resumed int
 }
 
 // State holds the open requests of this node.
@@ -143,7 +148,7 @@
 			return c, model.UnknownRoute, false
 		}
 		c.mustClaim = !route.Repeatable
-		c.upstreams = route.Upstreams
+		c.services = route.Upstreams
 		open = route.Open
 	}
 	if !open {
@@ -156,7 +161,6 @@
 		if _, ok := facts.Conf.Model(request.Model); !ok {
 			return c, model.UnknownModel, false
 		}
-		c.upstreams = facts.Conf.UpstreamsOf(request.Model)
 	}
 	if c.mustClaim && request.IdempotencyKey == "" {
 		return c, model.MissingIdempotencyKey, false
@@ -208,21 +212,25 @@
 	return s
 }
 
-// dispatched sends the request to the upstream with the least load of this
-// node that was not tried yet.
+// dispatched sends the request to an upstream that was not tried yet.
 func (s State) dispatched(ticket model.Ticket, facts Facts, out *Out) State {
 	c, ok := s.open.Get(ticket)
 	if !ok {
 		return s
 	}
-	upstream, ok := s.place(c, facts.Conf)
+	upstream, ok := s.place(c, facts)
 	if !ok {
 		return s.failed(ticket, c, refusal(model.NoUpstream, model.NotRun, 1), out)
 	}
+	c.tried = append(c.tried[:len(c.tried):len(c.tried)], upstream.Name)
+	return s.sent(ticket, c, upstream, out)
+}
+
+// sent starts the next attempt of a request at an upstream.
+func (s State) sent(ticket model.Ticket, c call, upstream model.Upstream, out *Out) State {
 	c.phase = running
 	c.attempt++
 	c.upstream = upstream.Name
-	c.tried = append(c.tried[:len(c.tried):len(c.tried)], upstream.Name)
 	s.open = s.open.Set(ticket, c)
 	s = s.withLoad(upstream.Name, 1)
 	out.Emit(effect.Dispatch{
@@ -235,31 +243,6 @@
 	return s
 }
 
-func (s State) place(c call, config conf.State) (model.Upstream, bool) {
-	var best model.Upstream
-	bestLoad, found := 0, false
-	for _, name := range c.upstreams {
-		upstream, ok := config.Upstream(name)
-		if !ok || upstream.State != model.UpstreamActive || c.hasTried(name) {
-			continue
-		}
-		load, _ := s.load.Get(name)
-		if !found || load*best.Slots < bestLoad*upstream.Slots {
-			best, bestLoad, found = upstream, load, true
-		}
-	}
-	return best, found
-}
-
-func (c call) hasTried(name model.UpstreamName) bool {
-	for _, t := range c.tried {
-		if t == name {
-			return true
-		}
-	}
-	return false
-}
-
 func (s State) attemptEnded(e event.AttemptEnded, facts Facts, out *Out) State {
 	c, ok := s.open.Get(e.Ticket)
 	if !ok || c.phase != running || e.Attempt != c.attempt {
@@ -272,8 +255,11 @@
 	if e.Outcome == model.CallerLeft {
 		return s.failed(e.Ticket, c, refusal(model.UpstreamLost, model.OutcomeUnknown, 0), out)
 	}
+	if c.resumed > 0 || e.TokensPassed > 0 {
+		return s.resume(e, c, facts, out)
+	}
 	notRun := e.Outcome == model.NotSent || e.Outcome == model.Rejected
-	mayRepeat := notRun || (!c.mustClaim && e.TokensPassed == 0)
+	mayRepeat := notRun || !c.mustClaim
 	if mayRepeat && c.attempt < maxAttempts {
 		out.Emit(effect.CountRetry{Reason: retryReason(e.Outcome)})
 		return s.dispatched(e.Ticket, facts, out)
@@ -284,6 +270,19 @@
 	return s.failed(e.Ticket, c, refusal(model.UpstreamLost, model.OutcomeUnknown, 0), out)
 }
 
+// resume continues a stream of which the caller has a part. Only the engine
+// that generated it holds the tokens, so no other one is tried.
+func (s State) resume(e event.AttemptEnded, c call, facts Facts, out *Out) State {
+	upstream, ok := facts.Conf.Upstream(c.upstream)
+	mayResume := ok && c.request.Stream && !e.Crashed && e.Outcome != model.Rejected && c.attempt < maxAttempts
+	if !mayResume {
+		return s.failed(e.Ticket, c, refusal(model.StreamTruncated, model.OutcomeUnknown, 0), out)
+	}
+	c.resumed = e.TokensPassed
+	out.Emit(effect.CountRetry{Reason: model.RetryResumed})
+	return s.sent(e.Ticket, c, upstream, out)
+}
+
 func (s State) completed(e event.AttemptEnded, c call, out *Out) State {
 	if !c.mustClaim {
 		return s.finished(e.Ticket, out)
--- /dev/null
+++ b/core/flow/place.go
@@ -0,0 +1,87 @@
+package flow
+
+import (
+	"slices"
+
+	"github.com/benbjohnson/immutable"
+
+	"caroblane/core/conf"
+	"caroblane/core/model"
+	"caroblane/core/place"
+)
+
+// The placement of requests over engines and plain services.
+var placement = place.Affinity[candidate]{
+	Bound:     1,
+	Otherwise: place.Sampled[candidate]{Choices: 8},
+}
+
+// candidate is an upstream as placement sees it.
+type candidate struct {
+	conf.Placeable
+	load  *immutable.Map[model.UpstreamName, int]
+	tried []model.UpstreamName
+}
+
+// engines lists the upstreams of a model.
+type engines struct {
+	list  []conf.Placeable
+	load  *immutable.Map[model.UpstreamName, int]
+	tried []model.UpstreamName
+}
+
+// services lists the upstreams of a route.
+type services struct {
+	names  []model.UpstreamName
+	config conf.State
+	load   *immutable.Map[model.UpstreamName, int]
+	tried  []model.UpstreamName
+}
+
+// place picks the upstream for the next attempt of a request.
+func (s State) place(c call, facts Facts) (model.Upstream, bool) {
+	var list place.List[candidate] = engines{facts.Conf.UpstreamsOf(c.request.Model), s.load, c.tried}
+	if c.request.Kind == model.RequestPlain {
+		list = services{c.services, facts.Conf, s.load, c.tried}
+	}
+	i, ok := placement.Pick(list, prefixKey(c.request), facts.Draw)
+	if !ok {
+		return model.Upstream{}, false
+	}
+	return list.At(i).Upstream, true
+}
+
+// At implements place.List.
+func (e engines) At(i int) candidate { return candidate{e.list[i], e.load, e.tried} }
+
+// Len implements place.List.
+func (e engines) Len() int { return len(e.list) }
+
+// At implements place.List.
+func (s services) At(i int) candidate {
+	upstream, _ := s.config.Upstream(s.names[i])
+	return candidate{conf.Placeable{Upstream: upstream}, s.load, s.tried}
+}
+
+// Len implements place.List.
+func (s services) Len() int { return len(s.names) }
+
+// Hash implements place.Candidate.
+func (c candidate) Hash() uint64 { return c.NameHash }
+
+// Load implements place.Candidate.
+func (c candidate) Load() (float64, bool) {
+	if c.Name == "" || c.State != model.UpstreamActive || slices.Contains(c.tried, c.Name) {
+		return 0, false
+	}
+	running, _ := c.load.Get(c.Name)
+	return float64(running) / float64(c.Slots), true
+}
+
+// prefixKey is the hash of the first piece of the prompt, or zero.
+func prefixKey(request model.Request) uint64 {
+	if len(request.PrefixHashes) == 0 {
+		return 0
+	}
+	return request.PrefixHashes[0]
+}
--- /dev/null
+++ b/core/node/bench_test.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"caroblane/core/claim"
+	"caroblane/core/effect"
+	"caroblane/core/event"
+	"caroblane/core/limit"
+	"caroblane/core/model"
+	"caroblane/core/peers"
+	"caroblane/core/step"
+)
+
+// at is the start of the benchmark's time.
+var at = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func keyOf(account int) model.KeyHash {
+	return sha256.Sum256(fmt.Appendf(nil, "key-%d", account))
+}
+
+// configured returns a fresh node that holds the given number of accounts and
+// upstreams, the latter spread over 6 models.
+func configured(accounts, upstreams int) State {
+	var changes []model.Change
+	add := func(kind model.Kind, name string, value any) {
+		changes = append(changes, model.Change{
+			Kind: kind, Name: name, Version: model.Version(len(changes) + 1), Generation: 1, Value: value,
+		})
+	}
+	for i := range 6 {
+		add(model.KindModel, fmt.Sprintf("model-%d", i), model.Model{MaxTokens: 4096})
+	}
+	for i := range accounts {
+		name := fmt.Sprintf("account-%d", i)
+		add(model.KindTemplate, name, model.Template{Rate: 1e6, Burst: 1e6})
+		add(model.KindKey, name, model.Key{Account: model.AccountName(name), Hash: keyOf(i)})
+	}
+	for i := range upstreams {
+		add(model.KindUpstream, fmt.Sprintf("engine-%d", i), model.Upstream{
+			Address: "127.0.0.1:1", Slots: 64, Models: []model.ModelName{model.ModelName(fmt.Sprintf("model-%d", i%6))},
+		})
+	}
+	s := New(peers.New(), limit.New(), claim.New())
+	s, _ = s.Apply(Input{At: at, Event: event.ConfigChanged{
+		Changes: changes, Upto: model.Version(len(changes)), SentAt: at, FromStore: true,
+	}})
+	return s
+}
+
+// traffic applies n events: arrivals of requests and ends of their attempts,
+// with up to 64 requests open.
+func traffic(s State, accounts, n int) (int, time.Duration) {
+	draw := rand.New(rand.NewPCG(1, 2))
+	type running struct {
+		ticket  model.Ticket
+		attempt int
+	}
+	var open []running
+	ticket, refused := model.Ticket(0), 0
+	keys := make([]model.KeyHash, accounts)
+	for i := range keys {
+		keys[i] = keyOf(i)
+	}
+	models := make([]model.ModelName, 6)
+	for i := range models {
+		models[i] = model.ModelName(fmt.Sprintf("model-%d", i))
+	}
+	started := time.Now()
+	for range n {
+		in := Input{At: at.Add(time.Millisecond), Draw: draw.Uint64()}
+		if len(open) == 64 {
+			i := draw.IntN(len(open))
+			in.Event = event.AttemptEnded{Ticket: open[i].ticket, Attempt: open[i].attempt, Outcome: model.Completed}
+			open[i] = open[len(open)-1]
+			open = open[:len(open)-1]
+		} else {
+			ticket++
+			in.Event = event.RequestArrived{Ticket: ticket, Request: model.Request{
+				ID: "r", HasKey: true, KeyHash: keys[draw.IntN(accounts)],
+				Model:   models[draw.IntN(6)],
+				AdmitBy: at.Add(time.Minute),
+			}}
+		}
+		var effects []effect.Effect
+		s, effects = s.Apply(in)
+		for _, e := range effects {
+			switch e := e.(type) {
+			case effect.Dispatch:
+				open = append(open, running{e.Ticket, e.Attempt})
+			case effect.Refuse:
+				refused++
+			}
+		}
+	}
+	return refused, time.Since(started)
+}
+
+// BenchmarkEvents measures the reducer; the cost at 11,000 accounts must stay
+// below twice the cost at 100.
+func BenchmarkEvents(b *testing.B) {
+	for _, size := range []struct{ accounts, upstreams int }{{100, 20}, {100, 1900}, {11000, 1900}} {
+		b.Run(fmt.Sprintf("accounts=%d/upstreams=%d", size.accounts, size.upstreams), func(b *testing.B) {
+			s := configured(size.accounts, size.upstreams)
+			b.ReportAllocs()
+			b.ResetTimer()
+			refused, took := traffic(s, size.accounts, b.N)
+			b.ReportMetric(float64(b.N)/took.Seconds(), "events/s")
+			b.ReportMetric(float64(refused), "refused")
+		})
+	}
+}
+
+// Guards against a machine whose state or effects do not fit the loop.
+var _ step.Machine[State, event.Event, effect.Effect] = State{}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -76,7 +76,7 @@
 	collect()
 	s.claim, out = s.claim.Apply(in)
 	collect()
-	s.flow, out = s.flow.Apply(in, flow.Facts{Conf: s.conf, Fresh: s.peers.Fresh(in.At)})
+	s.flow, out = s.flow.Apply(in, flow.Facts{Conf: s.conf, Fresh: s.peers.Fresh(in.At), Draw: in.Draw})
 	collect()
 	return s, all
 }
