Test the relay against broken, crossed and doubled answers

Cause: nothing showed that the relay recognises answers that are not whole, and that a request which may not be repeated leaves this process once.

Change: contract tests with a table of stream faults, and a test in which the upstream ends a reused connection after it executed the request.

Figures: with reused connections for such requests, TestOnceIsNotResent fails: "the upstream executed the request 2 times", for GET and for POST with an Idempotency-Key, because net/http resends them.

--- /dev/null
+++ b/io/relay/relay_test.go
@@ -0,0 +1,223 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"caroblane/core/model"
+)
+
+type recorder struct {
+	bytes.Buffer
+	status int
+}
+
+func (r *recorder) Begin(status int, _ http.Header) error {
+	r.status = status
+	return nil
+}
+
+func (r *recorder) Flush() error { return nil }
+
+// chunk is an event of request "r1", attempt 1.
+func chunk(offset int, text string) string {
+	return fmt.Sprintf("id: r1/1/%d\ndata: {\"t\":%q}\n\n", offset, text)
+}
+
+func end(total int) string {
+	return fmt.Sprintf("id: r1/1/%d\ndata: {\"usage\":{\"completion_tokens\":%d}}\n\nid: r1/1/%d\ndata: [DONE]\n\n", total, total, total)
+}
+
+func attemptAt(address string, kind model.UpstreamKind) Attempt {
+	return Attempt{
+		RequestID: "r1",
+		Number:    1,
+		Upstream:  model.Upstream{Name: "u", Kind: kind, Address: address},
+		Method:    http.MethodPost,
+		Target:    "/x",
+		Body:      []byte("{}"),
+		Stream:    true,
+	}
+}
+
+// Guards against answers that are cut, crossed or not whole and reach the
+// caller as whole ones.
+func TestStreamFaults(t *testing.T) {
+	tests := []struct {
+		name     string
+		body     string
+		cut      bool
+		resume   int
+		answerTo string
+		status   int
+		want     Result
+		text     string
+	}{
+		{
+			name: "whole", body: chunk(1, "a") + chunk(2, "b") + end(2),
+			want: Result{Outcome: model.Completed, TokensPassed: 2}, text: "ab",
+		},
+		{
+			name: "event of another request is dropped",
+			body: chunk(1, "a") + "id: r2/1/2\ndata: {\"t\":\"z\"}\n\n" + chunk(2, "b") + end(2),
+			want: Result{Outcome: model.Completed, TokensPassed: 2}, text: "ab",
+		},
+		{
+			name: "event of an earlier attempt is dropped",
+			body: "id: r1/0/1\ndata: {\"t\":\"z\"}\n\n" + chunk(1, "a") + end(1),
+			want: Result{Outcome: model.Completed, TokensPassed: 1}, text: "a",
+		},
+		{
+			name: "event without id is dropped",
+			body: chunk(1, "a") + "data: [DONE]\n\n" + chunk(2, "b") + end(2),
+			want: Result{Outcome: model.Completed, TokensPassed: 2}, text: "ab",
+		},
+		{
+			name: "gap", body: chunk(1, "a") + chunk(3, "c") + end(3),
+			want: Result{Outcome: model.Broken, TokensPassed: 1}, text: "a",
+		},
+		{
+			name: "total does not match", body: chunk(1, "a") + strings.Replace(end(1), ":1}", ":4}", 1),
+			want: Result{Outcome: model.Broken, TokensPassed: 1}, text: "a",
+		},
+		{
+			name: "end without total", body: chunk(1, "a") + "id: r1/1/1\ndata: [DONE]\n\n",
+			want: Result{Outcome: model.Broken, TokensPassed: 1}, text: "a",
+		},
+		{
+			name: "stream ends early", body: chunk(1, "a"),
+			want: Result{Outcome: model.Broken, TokensPassed: 1, Crashed: true}, text: "a",
+		},
+		{
+			name: "connection is cut", body: chunk(1, "a") + chunk(2, "b"), cut: true,
+			want: Result{Outcome: model.Broken, TokensPassed: 2, Crashed: true}, text: "ab",
+		},
+		{
+			name: "resumed", body: chunk(3, "c") + end(3), resume: 2,
+			want: Result{Outcome: model.Completed, TokensPassed: 3}, text: "c",
+		},
+		{
+			name: "answer to another request", body: chunk(1, "a") + end(1), answerTo: "r2",
+			want: Result{Outcome: model.Broken},
+		},
+		{
+			name: "full upstream", status: http.StatusServiceUnavailable,
+			want: Result{Outcome: model.Rejected},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				id := r.Header.Get(headerRequestID)
+				if test.answerTo != "" {
+					id = test.answerTo
+				}
+				w.Header().Set(headerRequestID, id)
+				w.Header().Set(headerAttempt, r.Header.Get(headerAttempt))
+				if test.status != 0 {
+					w.WriteHeader(test.status)
+					return
+				}
+				_, _ = io.WriteString(w, test.body)
+				if test.cut {
+					_ = http.NewResponseController(w).Flush()
+					panic(http.ErrAbortHandler)
+				}
+			}))
+			defer server.Close()
+			client := New(Dialer())
+			defer client.Close()
+			attempt := attemptAt(server.Listener.Addr().String(), model.UpstreamEngine)
+			attempt.Resume = test.resume
+			var sink recorder
+			got := client.Run(context.Background(), attempt, &sink)
+			got.Err = nil
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("result differs (-want +got):\n%s", diff)
+			}
+			if text := texts(sink.String()); text != test.text {
+				t.Errorf("caller got %q, want %q", text, test.text)
+			}
+		})
+	}
+}
+
+// texts joins the texts of the chunks that reached the caller.
+func texts(stream string) string {
+	var joined strings.Builder
+	for _, part := range strings.Split(stream, `{"t":"`)[1:] {
+		joined.WriteString(part[:strings.IndexByte(part, '"')])
+	}
+	return joined.String()
+}
+
+// Guards against NotRun for a request that may have run, and the reverse.
+func TestUnreachableIsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	client := New(Dialer())
+	got := client.Run(context.Background(), attemptAt(address, model.UpstreamPlain), &recorder{})
+	if got.Outcome != model.NotSent {
+		t.Fatalf("outcome is %v, want NotSent", got.Outcome)
+	}
+}
+
+// Guards against a second execution by net/http itself: it resends a request
+// with an Idempotency-Key, or a GET, when a reused connection breaks.
+func TestOnceIsNotResent(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			var executed atomic.Int32
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/warm" {
+					return
+				}
+				executed.Add(1)
+				panic(http.ErrAbortHandler)
+			}))
+			defer server.Close()
+			client := New(Dialer())
+			defer client.Close()
+			attempt := attemptAt(server.Listener.Addr().String(), model.UpstreamPlain)
+			attempt.Method, attempt.Body, attempt.Once = method, nil, true
+			attempt.Header = http.Header{"Idempotency-Key": {"k"}}
+			warm := attempt
+			warm.Target = "/warm"
+			if got := client.Run(context.Background(), warm, &recorder{}); got.Outcome != model.Completed {
+				t.Fatalf("first call ended with %v: %v", got.Outcome, got.Err)
+			}
+			if got := client.Run(context.Background(), attempt, &recorder{}); got.Outcome != model.Broken {
+				t.Fatalf("outcome is %v, want Broken", got.Outcome)
+			}
+			if n := executed.Load(); n != 1 {
+				t.Fatalf("the upstream executed the request %d times", n)
+			}
+		})
+	}
+}
+
+// Guards against a caller's key that reaches an upstream.
+func TestForwardHeaderDropsKey(t *testing.T) {
+	header := http.Header{
+		"Authorization": {"Bearer secret"}, "X-Api-Key": {"secret"}, "Cookie": {"secret"},
+		"Connection": {"X-Private"}, "X-Private": {"1"}, "X-Attempt": {"7"}, "Accept": {"text/plain"},
+	}
+	want := http.Header{"Accept": {"text/plain"}}
+	if diff := cmp.Diff(want, ForwardHeader(header)); diff != "" {
+		t.Errorf("forwarded headers differ (-want +got):\n%s", diff)
+	}
+}
