Add thin stand-ins and the platform client

The lead needs a store, an engine and a plain service to serve a request end to end, and a client that brings the configuration into the reducer.

Each stand-in is a step.Machine behind a gate machine, which adds the faults that every outside system can have. The client carries out object reads and writes and watches the configuration. It holds the changes of a coalesced answer back until they are complete, because a node that took a part of them for all writes up to a version could miss a withdrawal.

No contract tests yet.

--- /dev/null
+++ b/cmd/caroblane-fake/root.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+func root() *cli.Command {
+	return &cli.Command{
+		Name:     "caroblane-fake",
+		Usage:    "run a stand-in for an outside system",
+		Commands: []*cli.Command{engineCommand(), plainCommand(), storeCommand()},
+	}
+}
+
+func listenFlag() cli.Flag {
+	return &cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "`ADDRESS` to listen on"}
+}
+
+// standIn is a stand-in on a listener.
+type standIn interface {
+	Addr() string
+	Run(ctx context.Context) error
+}
+
+// serve listens on the address of the command line, prints it, and runs the
+// stand-in until the process is asked to end.
+func serve[S standIn](ctx context.Context, cmd *cli.Command, build func(net.Listener, *rand.Rand) (S, error)) error {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", cmd.String("listen"))
+	if err != nil {
+		return err
+	}
+	s, err := build(listener, rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0)))
+	if err != nil {
+		_ = listener.Close()
+		return err
+	}
+	if _, err := fmt.Fprintf(cmd.Root().Writer, "event=listening address=%s\n", s.Addr()); err != nil {
+		return err
+	}
+	return s.Run(ctx)
+}
--- /dev/null
+++ b/fake/engine/http.go
@@ -0,0 +1,258 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"caroblane/fake/gate"
+	"caroblane/fake/serve"
+)
+
+const (
+	maxBody = 16 << 20
+	// tokenBytes is the size of a prompt token. The stand-in has no tokenizer.
+	tokenBytes       = 4
+	defaultMaxTokens = 16
+)
+
+// Engine is the stand-in on a listener.
+type Engine struct {
+	*serve.Gated[State, Event, Effect]
+	now func() time.Time
+}
+
+// New returns a stand-in that starts with the given state.
+func New(listener net.Listener, initial State, draw *rand.Rand, now func() time.Time) *Engine {
+	gated := gate.New[State, Event, Effect](initial, Tick{}, func(ticket uint64) Event { return Gone{Ticket: ticket} })
+	return &Engine{Gated: serve.NewGated(listener, gated, merge, draw, now), now: now}
+}
+
+// Run serves until the context ends.
+func (e *Engine) Run(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /cache-events", e.handleCacheEvents)
+	mux.HandleFunc("GET /faults", e.handleReadFaults)
+	mux.HandleFunc("POST /faults", e.handleFaults)
+	mux.HandleFunc("GET /kv/{prefix}", e.handleExport)
+	mux.HandleFunc("PUT /kv/{prefix}", e.handleImport)
+	mux.HandleFunc("GET /load", e.handleLoad)
+	mux.HandleFunc("GET /orders", e.handleReadOrders)
+	mux.HandleFunc("POST /orders", e.handleOrder)
+	mux.HandleFunc("DELETE /requests/{id}", e.handleCancel)
+	mux.HandleFunc("GET /stats", e.handleStats)
+	mux.HandleFunc("POST /v1/chat/completions", e.handleChat)
+	return e.Gated.Run(ctx, mux)
+}
+
+// Prefixes returns the hashes of the whole pieces of a prompt, from the start.
+func Prefixes(prompt string) []uint64 {
+	var prefixes []uint64
+	digest := xxhash.New()
+	for size := PieceTokens * tokenBytes; len(prompt) >= size; prompt = prompt[size:] {
+		_, _ = digest.WriteString(prompt[:size])
+		prefixes = append(prefixes, digest.Sum64())
+	}
+	return prefixes
+}
+
+// TokensOf returns the number of tokens in a prompt.
+func TokensOf(prompt string) int { return (len(prompt) + tokenBytes - 1) / tokenBytes }
+
+// chatBody is the request of the chat API, as far as the stand-in reads it.
+type chatBody struct {
+	Model     string        `json:"model"`
+	Messages  []chatMessage `json:"messages"`
+	MaxTokens *int          `json:"max_tokens"`
+	Seed      int64         `json:"seed"`
+	Stream    bool          `json:"stream"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// prompt returns the text whose pieces are cached.
+func (b chatBody) prompt() string {
+	var text strings.Builder
+	for _, message := range b.Messages {
+		text.WriteString(message.Role + "\x00" + message.Content + "\x00")
+	}
+	return text.String()
+}
+
+func (e *Engine) handleChat(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		serve.Refuse(w, http.StatusRequestEntityTooLarge, "TooLarge", "NotRun", err.Error())
+		return
+	}
+	var body chatBody
+	if err := json.Unmarshal(data, &body); err != nil {
+		serve.Refuse(w, http.StatusBadRequest, "Malformed", "NotRun", err.Error())
+		return
+	}
+	maxTokens := defaultMaxTokens
+	if body.MaxTokens != nil {
+		maxTokens = *body.MaxTokens
+	}
+	if maxTokens < 1 {
+		serve.Refuse(w, http.StatusBadRequest, "Malformed", "NotRun", "field max_tokens: accepted: 1 or more")
+		return
+	}
+	prompt := body.prompt()
+	s := &stream{
+		engine: e,
+		id:     r.Header.Get("X-Request-Id"),
+		try:    r.Header.Get("X-Attempt"),
+		model:  body.Model,
+		seed:   Seed(body.Model, prompt, body.Seed),
+		whole:  !body.Stream,
+	}
+	offset, resumed, ok := lastEvent(r.Header.Get("Last-Event-ID"), s.id)
+	if !ok {
+		serve.Refuse(w, http.StatusBadRequest, "Malformed", "NotRun",
+			"header Last-Event-ID: accepted: <X-Request-Id>/<attempt>/<offset>")
+		return
+	}
+	priority, _ := strconv.Atoi(r.Header.Get("X-Priority"))
+	call, err := e.Open(r, true, func(ticket uint64) Event {
+		if s.id == "" {
+			s.id = "ticket-" + strconv.FormatUint(ticket, 10)
+		}
+		if resumed {
+			return Resume{Ticket: ticket, ID: s.id, Attempt: s.try, Seed: s.seed, Offset: offset}
+		}
+		return Submit{
+			Ticket:       ticket,
+			ID:           s.id,
+			Attempt:      s.try,
+			Priority:     priority,
+			Model:        body.Model,
+			Prompt:       prompt,
+			Prefixes:     Prefixes(prompt),
+			PromptTokens: TokensOf(prompt),
+			MaxTokens:    maxTokens,
+			Seed:         s.seed,
+		}
+	})
+	if err != nil {
+		serve.Hangup(w)
+		return
+	}
+	defer e.Close(r, call)
+	s.copy(w, r, call)
+}
+
+// lastEvent reads the offset of a resumed stream.
+func lastEvent(header, id string) (offset int, resumed, ok bool) {
+	if header == "" {
+		return 0, false, true
+	}
+	rest, found := strings.CutPrefix(header, id+"/")
+	_, number, both := strings.Cut(rest, "/")
+	offset, err := strconv.Atoi(number)
+	return offset, true, found && both && err == nil && offset >= 0 && id != ""
+}
+
+func (e *Engine) ask(w http.ResponseWriter, r *http.Request, write bool, event func(ticket uint64) Event) {
+	effect, ok := e.Ask(w, r, write, event)
+	if !ok {
+		return
+	}
+	answer, _ := effect.(Answer)
+	reply(w, answer)
+}
+
+func reply(w http.ResponseWriter, answer Answer) {
+	if answer.Fault == nil {
+		serve.JSON(w, answer.Status, answer.Body)
+		return
+	}
+	if answer.Status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", "1")
+	}
+	serve.Refuse(w, answer.Status, answer.Fault.Reason, answer.Fault.Execution, answer.Fault.Message)
+}
+
+func (e *Engine) handleCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint("0"+r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		serve.Refuse(w, http.StatusBadRequest, "Malformed", "NotRun", "field after: accepted: a sequence number")
+		return
+	}
+	e.ask(w, r, false, func(ticket uint64) Event {
+		return ReadCacheEvents{Ticket: ticket, After: after, Limit: 1_000}
+	})
+}
+
+func (e *Engine) handleCancel(w http.ResponseWriter, r *http.Request) {
+	e.ask(w, r, true, func(ticket uint64) Event { return Cancel{Ticket: ticket, ID: r.PathValue("id")} })
+}
+
+func (e *Engine) handleExport(w http.ResponseWriter, r *http.Request) {
+	if prefix, ok := prefixOf(w, r); ok {
+		e.ask(w, r, false, func(ticket uint64) Event { return Export{Ticket: ticket, Prefix: prefix} })
+	}
+}
+
+func (e *Engine) handleImport(w http.ResponseWriter, r *http.Request) {
+	prefix, ok := prefixOf(w, r)
+	if !ok {
+		return
+	}
+	body, ok := serve.Decode[KVBody](w, r)
+	if !ok {
+		return
+	}
+	if body.Prefix != prefix || body.Tokens != PieceTokens {
+		serve.Refuse(w, http.StatusBadRequest, "Malformed", "NotRun", "body is not the export of this prefix")
+		return
+	}
+	e.ask(w, r, true, func(ticket uint64) Event { return Import{Ticket: ticket, Prefix: prefix} })
+}
+
+func prefixOf(w http.ResponseWriter, r *http.Request) (uint64, bool) {
+	prefix, err := strconv.ParseUint(r.PathValue("prefix"), 10, 64)
+	if err != nil {
+		serve.Refuse(w, http.StatusBadRequest, "Malformed", "NotRun", "prefix: accepted: a decimal hash")
+	}
+	return prefix, err == nil
+}
+
+func (e *Engine) handleLoad(w http.ResponseWriter, r *http.Request) {
+	e.ask(w, r, false, func(ticket uint64) Event { return ReadLoad{Ticket: ticket} })
+}
+
+type orderBody struct {
+	Epoch  uint64
+	Seq    uint64
+	Intent Intent
+}
+
+func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request) {
+	body, ok := serve.Decode[orderBody](w, r)
+	if !ok {
+		return
+	}
+	e.ask(w, r, true, func(ticket uint64) Event {
+		return Order{Ticket: ticket, Epoch: body.Epoch, Seq: body.Seq, Intent: body.Intent}
+	})
+}
+
+func (e *Engine) handleReadOrders(w http.ResponseWriter, r *http.Request) {
+	e.ask(w, r, false, func(ticket uint64) Event { return ReadOrders{Ticket: ticket} })
+}
+
+func (e *Engine) handleStats(w http.ResponseWriter, _ *http.Request) {
+	serve.JSON(w, http.StatusOK, e.Snapshot().Inner().Stats())
+}
--- /dev/null
+++ b/fake/plain/http.go
@@ -0,0 +1,102 @@
+package plain
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"caroblane/fake/gate"
+	"caroblane/fake/serve"
+)
+
+// maxBody bounds the body of a request.
+const maxBody = 16 << 20
+
+// Plain is the stand-in on a listener.
+type Plain struct {
+	*serve.Gated[State, Event, Answer]
+}
+
+// New returns a stand-in that starts with the given state.
+func New(listener net.Listener, initial State, draw *rand.Rand, now func() time.Time) *Plain {
+	gated := gate.New[State, Event, Answer](initial, Tick{}, func(uint64) Event { return Gone{} })
+	return &Plain{Gated: serve.NewGated(listener, gated, serve.Newest[Answer], draw, now)}
+}
+
+// Run serves until the context ends.
+func (p *Plain) Run(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /faults", p.HandleFaults)
+	mux.HandleFunc("POST /faults", p.HandleFaults)
+	mux.HandleFunc("GET /stats", p.handleStats)
+	mux.HandleFunc("POST /status", p.handleStatus)
+	mux.HandleFunc("/", p.handle)
+	return p.Gated.Run(ctx, mux)
+}
+
+type answerBody struct {
+	Path           string
+	IdempotencyKey string `json:",omitempty"`
+	RequestID      string `json:"RequestId"`
+	BodyBytes      int
+	Execution      int
+}
+
+type statsBody struct {
+	Executions uint64
+	Runs       []Run
+}
+
+type statusBody struct{ Status int }
+
+func (p *Plain) handle(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		serve.Refuse(w, http.StatusRequestEntityTooLarge, "TooLarge", "NotRun", err.Error())
+		return
+	}
+	answer, ok := p.Ask(w, r, true, func(ticket uint64) Event {
+		return Execute{
+			Ticket:         ticket,
+			IdempotencyKey: r.Header.Get("Idempotency-Key"),
+			RequestID:      r.Header.Get("X-Request-Id"),
+			Method:         r.Method,
+			Path:           r.URL.Path,
+			BodyBytes:      len(body),
+		}
+	})
+	if !ok {
+		return
+	}
+	serve.JSON(w, answer.Status, answerBody{
+		Path:           r.URL.Path,
+		IdempotencyKey: answer.Run.IdempotencyKey,
+		RequestID:      r.Header.Get("X-Request-Id"),
+		BodyBytes:      len(body),
+		Execution:      answer.Run.Executions,
+	})
+}
+
+func (p *Plain) handleStats(w http.ResponseWriter, _ *http.Request) {
+	state := p.Snapshot().Inner()
+	serve.JSON(w, http.StatusOK, statsBody{Executions: state.Total(), Runs: state.Runs()})
+}
+
+func (p *Plain) handleStatus(w http.ResponseWriter, r *http.Request) {
+	body, ok := serve.Decode[statusBody](w, r)
+	if !ok {
+		return
+	}
+	if body.Status != 0 && (body.Status < 200 || body.Status > 599) {
+		serve.Refuse(w, http.StatusBadRequest, "Malformed", "NotRun", "field Status: accepted: 0, or 200 to 599")
+		return
+	}
+	if err := p.Direct(r.Context(), SetStatus(body)); err != nil {
+		serve.Hangup(w)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/fake/serve/gated.go
@@ -0,0 +1,238 @@
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"caroblane/core/step"
+	"caroblane/fake/gate"
+	"caroblane/io/loop"
+)
+
+const queueSize = 16_384
+
+// maxControl bounds the body of a control call.
+const maxControl = 1 << 16
+
+// Gated runs a machine behind a gate and serves HTTP for it.
+type Gated[S step.Machine[S, E, F], E any, F gate.Answer] struct {
+	listener net.Listener
+	loop     *loop.Loop[gate.State[S, E, F], gate.Event[E], gate.Effect[F]]
+	desk     *Desk[gate.Effect[F]]
+	done     chan struct{}
+}
+
+// NewGated returns a stand-in that starts with the given state.
+func NewGated[S step.Machine[S, E, F], E any, F gate.Answer](
+	listener net.Listener, initial gate.State[S, E, F], merge func(old, next F) F,
+	draw *rand.Rand, now func() time.Time,
+) *Gated[S, E, F] {
+	g := &Gated[S, E, F]{listener: listener, done: make(chan struct{})}
+	g.desk = NewDesk(func(old, next gate.Effect[F]) gate.Effect[F] {
+		if old.Action != gate.Pass || next.Action != gate.Pass {
+			return next
+		}
+		return gate.Effect[F]{Ticket: next.Ticket, Inner: merge(old.Inner, next.Inner)}
+	})
+	g.loop = loop.New[gate.State[S, E, F], gate.Event[E], gate.Effect[F]](
+		initial, g, gate.Tick[E]{}, queueSize, draw, now)
+	return g
+}
+
+// Newest is the merge of stand-ins that answer each call once.
+func Newest[F any](_, next F) F { return next }
+
+// Addr returns the address of the listener.
+func (g *Gated[S, E, F]) Addr() string { return g.listener.Addr().String() }
+
+// Call is an open call.
+type Call[F any] struct {
+	Answers <-chan gate.Effect[F]
+	ticket  uint64
+}
+
+// Ask passes a call through the gate and returns its only answer. Without an
+// answer the connection is closed, or the refusal written, and ok is false.
+func (g *Gated[S, E, F]) Ask(
+	w http.ResponseWriter, r *http.Request, write bool, event func(ticket uint64) E,
+) (answer F, ok bool) {
+	call, err := g.Open(r, write, event)
+	if err != nil {
+		Hangup(w)
+		return answer, false
+	}
+	defer g.Close(r, call)
+	return g.Await(w, r, call)
+}
+
+// Await returns the next answer to a call, like Ask.
+func (g *Gated[S, E, F]) Await(w http.ResponseWriter, r *http.Request, call Call[F]) (answer F, ok bool) {
+	select {
+	case given := <-call.Answers:
+		switch given.Action {
+		case gate.Pass:
+			return given.Inner, true
+		case gate.Limit:
+			w.Header().Set("Retry-After", "1")
+			Refuse(w, http.StatusTooManyRequests, "RateLimited", "NotRun", "rate of calls exceeded")
+		case gate.Hangup:
+			Hangup(w)
+		}
+	case <-r.Context().Done():
+		Hangup(w)
+	case <-g.loop.Done():
+		Hangup(w)
+	}
+	return answer, false
+}
+
+// Close ends a call.
+func (g *Gated[S, E, F]) Close(r *http.Request, call Call[F]) {
+	g.desk.Close(call.ticket)
+	if r.Context().Err() != nil {
+		_ = g.loop.Post(context.WithoutCancel(r.Context()), gate.Gone[E]{Ticket: call.ticket})
+	}
+}
+
+// Direct passes an event to the machine past the gate.
+func (g *Gated[S, E, F]) Direct(ctx context.Context, event E) error {
+	return g.loop.Post(ctx, gate.Direct[E]{Inner: event})
+}
+
+// Done is closed when Run has returned.
+func (g *Gated[S, E, F]) Done() <-chan struct{} { return g.done }
+
+// Execute hands an answer to its handler.
+func (g *Gated[S, E, F]) Execute(_ context.Context, effect gate.Effect[F]) {
+	g.desk.Deliver(effect.Ticket, effect)
+}
+
+// HandleFaults sets the faults to the JSON body, or returns those in force.
+func (g *Gated[S, E, F]) HandleFaults(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet {
+		JSON(w, http.StatusOK, FaultsOf(g.Snapshot().Faults()))
+		return
+	}
+	faults, ok := Decode[FaultsBody](w, r)
+	if !ok {
+		return
+	}
+	if err := g.SetFaults(r.Context(), faults.Faults()); err != nil {
+		Hangup(w)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// FaultsBody is the JSON of gate.Faults.
+type FaultsBody struct {
+	Down                  bool
+	Pause                 bool
+	SlowBy                Duration
+	LoseAnswersAfterWrite bool
+	LoseAnswers           int
+	DropClients           []string
+	ReadsPerSecond        float64
+	WritesPerSecond       float64
+}
+
+// Faults returns the faults of a body.
+func (b FaultsBody) Faults() gate.Faults {
+	return gate.Faults{
+		Down:                  b.Down,
+		Pause:                 b.Pause,
+		SlowBy:                time.Duration(b.SlowBy),
+		LoseAnswersAfterWrite: b.LoseAnswersAfterWrite,
+		LoseAnswers:           b.LoseAnswers,
+		DropClients:           b.DropClients,
+		ReadsPerSecond:        b.ReadsPerSecond,
+		WritesPerSecond:       b.WritesPerSecond,
+	}
+}
+
+// FaultsOf returns the body of faults.
+func FaultsOf(f gate.Faults) FaultsBody {
+	return FaultsBody{
+		Down:                  f.Down,
+		Pause:                 f.Pause,
+		SlowBy:                Duration(f.SlowBy),
+		LoseAnswersAfterWrite: f.LoseAnswersAfterWrite,
+		LoseAnswers:           f.LoseAnswers,
+		DropClients:           f.DropClients,
+		ReadsPerSecond:        f.ReadsPerSecond,
+		WritesPerSecond:       f.WritesPerSecond,
+	}
+}
+
+// Duration is written like 250ms in JSON.
+type Duration time.Duration
+
+// MarshalText returns the text of a duration.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// UnmarshalText reads the text of a duration.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	*d = Duration(parsed)
+	return err
+}
+
+// Open passes a call through the gate. The caller must close it.
+func (g *Gated[S, E, F]) Open(r *http.Request, write bool, event func(ticket uint64) E) (Call[F], error) {
+	ticket, answers := g.desk.Open()
+	call := gate.Call[E]{Ticket: ticket, Client: r.Header.Get("X-Client"), Write: write, Inner: event(ticket)}
+	if err := g.loop.Post(r.Context(), call); err != nil {
+		g.desk.Close(ticket)
+		return Call[F]{}, err
+	}
+	return Call[F]{Answers: answers, ticket: ticket}, nil
+}
+
+// Run serves until the context ends.
+func (g *Gated[S, E, F]) Run(ctx context.Context, handler http.Handler) error {
+	defer close(g.done)
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	go g.loop.Run(ctx)
+	err := Run(ctx, g.listener, handler)
+	stop()
+	<-g.loop.Done()
+	return err
+}
+
+// SetFaults puts the faults into force. Calls that arrive after it has
+// returned see them.
+func (g *Gated[S, E, F]) SetFaults(ctx context.Context, faults gate.Faults) error {
+	return g.loop.Post(ctx, gate.Change[E]{Faults: faults})
+}
+
+// Snapshot returns the state after the last event.
+func (g *Gated[S, E, F]) Snapshot() gate.State[S, E, F] { return g.loop.Snapshot() }
+
+// Decode reads the JSON body of a control call, in which every field must be
+// known. It writes the refusal if it fails.
+func Decode[T any](w http.ResponseWriter, r *http.Request) (T, bool) {
+	var value T
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxControl))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&value); err != nil {
+		Refuse(w, http.StatusBadRequest, "Malformed", "NotRun", err.Error())
+		return value, false
+	}
+	return value, true
+}
+
+type refusalBody struct {
+	Reason    string
+	Execution string
+	Message   string
+}
+
+// Refuse writes a typed refusal.
+func Refuse(w http.ResponseWriter, status int, reason, execution, message string) {
+	JSON(w, status, refusalBody{Reason: reason, Execution: execution, Message: message})
+}
--- /dev/null
+++ b/io/plat/client.go
@@ -0,0 +1,210 @@
+// Package plat is the client of the platform: it carries out the effects on
+// objects and posts the results as events, watches the configuration, and
+// calls the smaller interfaces.
+package plat
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"caroblane/core/effect"
+	"caroblane/core/event"
+	"caroblane/core/model"
+)
+
+const (
+	// maxValue is the platform's bound of a value.
+	maxValue = 1 << 20
+	// queueSize is above the number of calls that the decision parts have open
+	// at once: one for each of 256 claim shards, and a few leases and orders.
+	queueSize = 1024
+)
+
+// Clock is the source of time. Wait returns early with an error when the
+// context ends.
+type Clock interface {
+	Now() time.Time
+	Wait(ctx context.Context, d time.Duration) error
+}
+
+// Poster takes events; io/loop.Loop is one.
+type Poster interface {
+	Post(ctx context.Context, e event.Event) error
+}
+
+// Settings of the client.
+type Settings struct {
+	// Base is the URL of the platform, without a slash at its end.
+	Base string
+	// Name is sent as X-Client.
+	Name string
+	// Workers is the number of object calls that run at once.
+	Workers int
+	// CallTerm bounds a call, from when its effect was emitted.
+	CallTerm time.Duration
+	// WatchWait is how long a watch waits for a change. Each answer proves
+	// contact, so it is the longest time between two proofs.
+	WatchWait time.Duration
+	// WatchGap is the shortest time between two watch calls.
+	WatchGap time.Duration
+	// RetryFirst and RetryMost bound the time before a failed watch is sent
+	// again.
+	RetryFirst time.Duration
+	RetryMost  time.Duration
+}
+
+// DefaultSettings returns the terms that fit a freshness term of 6 s.
+func DefaultSettings(base, name string) Settings {
+	return Settings{
+		Base:       base,
+		Name:       name,
+		Workers:    32,
+		CallTerm:   2 * time.Second,
+		WatchWait:  time.Second,
+		WatchGap:   100 * time.Millisecond,
+		RetryFirst: 100 * time.Millisecond,
+		RetryMost:  2 * time.Second,
+	}
+}
+
+// Client is the platform as one entry node sees it.
+type Client struct {
+	settings Settings
+	caller   *caller
+	poster   Poster
+	clock    Clock
+	draw     *rand.Rand
+	queue    chan job
+	done     chan struct{}
+}
+
+type job struct {
+	effect effect.Effect
+	by     time.Time
+}
+
+// New returns a client that posts to the given poster.
+func New(settings Settings, poster Poster, draw *rand.Rand, clock Clock) *Client {
+	return &Client{
+		settings: settings,
+		caller:   newCaller(settings.Base, settings.Name, settings.Workers+2, clock),
+		poster:   poster,
+		clock:    clock,
+		draw:     draw,
+		queue:    make(chan job, queueSize),
+		done:     make(chan struct{}),
+	}
+}
+
+// Done is closed when Run has returned.
+func (c *Client) Done() <-chan struct{} { return c.done }
+
+// Execute queues ReadObject and WriteObject and ignores other effects. When
+// the queue is full, the answer is ObjectReadFailed or ObjectUnsent.
+func (c *Client) Execute(ctx context.Context, e effect.Effect) {
+	switch e.(type) {
+	case effect.ReadObject, effect.WriteObject:
+	default:
+		return
+	}
+	select {
+	case c.queue <- job{effect: e, by: c.clock.Now().Add(c.settings.CallTerm)}:
+	default:
+		// The caller is the goroutine that empties the poster's queue.
+		go c.post(ctx, unsent(e))
+	}
+}
+
+// Run carries out effects and watches until the context ends.
+func (c *Client) Run(ctx context.Context) {
+	defer close(c.done)
+	var running sync.WaitGroup
+	for range c.settings.Workers {
+		running.Go(func() { c.work(ctx) })
+	}
+	running.Go(func() { c.watch(ctx) })
+	running.Wait()
+	c.caller.http.CloseIdleConnections()
+}
+
+func (c *Client) post(ctx context.Context, e event.Event) { _ = c.poster.Post(ctx, e) }
+
+func (c *Client) work(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case j := <-c.queue:
+			switch e := j.effect.(type) {
+			case effect.ReadObject:
+				c.post(ctx, c.read(ctx, e, j.by))
+			case effect.WriteObject:
+				c.post(ctx, c.write(ctx, e, j.by))
+			}
+		}
+	}
+}
+
+func (c *Client) read(ctx context.Context, e effect.ReadObject, by time.Time) event.Event {
+	a, err := c.caller.do(ctx, request{method: "GET", path: objectPath(e.Kind, e.Name), by: by})
+	if errorx.IsOfType(err, Absent) {
+		return event.ObjectRead{Op: e.Op, SentAt: a.sentAt, Object: model.Change{Kind: e.Kind, Name: e.Name}}
+	}
+	var object wireObject
+	if err != nil || json.Unmarshal(a.body, &object) != nil || object.Version == 0 {
+		return event.ObjectReadFailed{Op: e.Op}
+	}
+	return event.ObjectRead{Op: e.Op, SentAt: a.sentAt, Found: true, Object: object.change(e.Kind)}
+}
+
+func (c *Client) write(ctx context.Context, e effect.WriteObject, by time.Time) event.Event {
+	r := request{
+		method: "PUT",
+		path:   objectPath(e.Kind, e.Name),
+		header: map[string]string{
+			"If-Version": strconv.FormatUint(uint64(e.IfVersion), 10),
+			"Nonce":      e.Nonce,
+		},
+		by: by,
+	}
+	if e.Delete {
+		r.method = "DELETE"
+	} else {
+		body, err := encode(e.Kind, e.Value)
+		if err != nil || len(body) > maxValue {
+			return event.ObjectUnsent{Op: e.Op}
+		}
+		r.body = body
+	}
+	a, err := c.caller.do(ctx, r)
+	var object wireObject
+	switch {
+	case errorx.IsOfType(err, Conflict):
+		return event.ObjectConflict{Op: e.Op, SentAt: a.sentAt}
+	case errorx.IsOfType(err, Unsent), errorx.IsOfType(err, Refused):
+		return event.ObjectUnsent{Op: e.Op}
+	case err != nil, json.Unmarshal(a.body, &object) != nil, object.Version == 0:
+		return event.ObjectAmbiguous{Op: e.Op, SentAt: a.sentAt}
+	}
+	return event.ObjectWritten{Op: e.Op, SentAt: a.sentAt, Version: object.Version, Generation: object.Generation}
+}
+
+func objectPath(kind model.Kind, name string) string {
+	return "/objects/" + kindName(kind) + "/" + url.PathEscape(name)
+}
+
+// unsent returns the answer to a call that was not made.
+func unsent(e effect.Effect) event.Event {
+	if read, ok := e.(effect.ReadObject); ok {
+		return event.ObjectReadFailed{Op: read.Op}
+	}
+	write, _ := e.(effect.WriteObject)
+	return event.ObjectUnsent{Op: write.Op}
+}
--- /dev/null
+++ b/io/plat/wire.go
@@ -0,0 +1,73 @@
+package plat
+
+import (
+	"encoding/json"
+	"strings"
+
+	"caroblane/core/model"
+	"caroblane/io/codec"
+)
+
+// wireObject is an object in the answers of the platform.
+type wireObject struct {
+	Kind       string
+	Name       string
+	Version    model.Version
+	Generation uint64
+	Deleted    bool
+	Nonce      string
+	Value      json.RawMessage
+}
+
+// wirePage is the answer to a watch.
+type wirePage struct {
+	Revision  model.Version
+	Next      model.Version
+	Coalesced bool
+	Objects   []wireObject
+}
+
+// kindName returns the name of a kind in paths.
+func kindName(kind model.Kind) string { return strings.TrimPrefix(kind.String(), "Kind") }
+
+// change decodes an object. A value that cannot be decoded is reported in the
+// field Fault.
+func (o wireObject) change(kind model.Kind) model.Change {
+	c := model.Change{Kind: kind, Name: o.Name, Version: o.Version, Generation: o.Generation, Deleted: o.Deleted}
+	if o.Deleted {
+		return c
+	}
+	value, err := decode(kind, o.Value)
+	if err != nil {
+		c.Fault = err.Error()
+		return c
+	}
+	c.Value = value
+	return c
+}
+
+func decode(kind model.Kind, data []byte) (any, error) {
+	if kind <= model.KindRoster {
+		return codec.DecodeConfig(kind, data)
+	}
+	return decodeRecord(kind, data)
+}
+
+func encode(kind model.Kind, value any) ([]byte, error) {
+	if kind <= model.KindRoster {
+		return codec.EncodeConfig(kind, value)
+	}
+	return encodeRecord(kind, value)
+}
+
+// decodeRecord and encodeRecord pass raw JSON on until io/codec has the
+// records.
+func decodeRecord(_ model.Kind, data []byte) (any, error) { return json.RawMessage(data), nil }
+
+func encodeRecord(kind model.Kind, value any) ([]byte, error) {
+	raw, ok := value.(json.RawMessage)
+	if !ok {
+		return nil, codec.Malformed.New("%s has type %T; accepted: JSON", kind, value)
+	}
+	return raw, nil
+}
