--- a/core/conf/valid.go
+++ b/core/conf/valid.go
@@ -92,6 +92,9 @@
 	if len(roster.Members) > maxMembers {
 		return fault("Members", len(roster.Members), fmt.Sprintf("0 to %d entries", maxMembers))
 	}
+	if len(roster.Former) > maxMembers {
+		return fault("Former", len(roster.Former), fmt.Sprintf("0 to %d entries", maxMembers))
+	}
 	names := map[model.NodeName]bool{}
 	for _, member := range roster.Members {
 		if member.Name == "" || names[member.Name] {
--- /dev/null
+++ b/core/event/peers.go
@@ -0,0 +1,125 @@
+package event
+
+import (
+	"time"
+
+	"caroblane/core/model"
+)
+
+// AuthorityChanged is raised when this node gains or loses the control lease of
+// its region.
+type AuthorityChanged struct {
+	Held  bool
+	Epoch model.Epoch
+}
+
+// CrashCountsArrived is raised when a peer sent its crash counts. They replace
+// earlier ones of the same peer.
+type CrashCountsArrived struct {
+	From   model.NodeName
+	Counts []model.CrashCount
+}
+
+// CrashCountsChanged is raised with this node's crash counts for its peers. At
+// most model.MaxCrashCounts are sent.
+type CrashCountsChanged struct{ Counts []model.CrashCount }
+
+// ExchangeAnswered reports a peer's answer to effect.Exchange.
+type ExchangeAnswered struct {
+	Peer model.NodeName
+	// SentAt was read before the call was sent.
+	SentAt time.Time
+	Status model.PeerStatus
+	Counts []model.CrashCount
+}
+
+// ExchangeAsked reports a peer's exchange. effect.ExchangeReply answers it.
+type ExchangeAsked struct {
+	Ticket model.Ticket
+	Status model.PeerStatus
+	Counts []model.CrashCount
+}
+
+// ExchangeFailed reports an exchange without an answer.
+type ExchangeFailed struct {
+	Peer   model.NodeName
+	SentAt time.Time
+	// Refused tells that the peer's VM refused the connection: no process
+	// listens at the address.
+	Refused bool
+}
+
+// FetchAnswered reports a peer's answer to effect.Fetch.
+type FetchAnswered struct {
+	Peer model.NodeName
+	// After repeats the version that the changes were asked from.
+	After   model.Version
+	Changes []model.Change
+	// Upto is the version up to which the answer is complete.
+	Upto model.Version
+	// Clean is the version up to which the answer holds no object that was
+	// deleted.
+	Clean model.Version
+	// Refused tells that the peer no longer knows every deletion after After.
+	Refused bool
+}
+
+// FetchAsked reports that a peer wants configuration. effect.FetchReply answers
+// it.
+type FetchAsked struct {
+	Ticket model.Ticket
+	After  model.Version
+	// Clean is the version up to which the peer knows every deletion.
+	Clean model.Version
+}
+
+// FetchFailed reports a fetch without an answer.
+type FetchFailed struct{ Peer model.NodeName }
+
+// FetchWanted is raised when a peer has newer configuration than this node.
+type FetchWanted struct{ Peer model.Member }
+
+// ForgetAsked carries an operator's statement that the process of a member has
+// stopped.
+type ForgetAsked struct{ Name model.NodeName }
+
+// FreshnessChanged is raised when this node starts or stops being fresh.
+type FreshnessChanged struct{ Fresh bool }
+
+// LeaveAsked is raised when the last request of a draining node has ended.
+type LeaveAsked struct{}
+
+// PushArrived reports configuration objects from the command line or from a
+// peer. effect.PushReply answers it.
+type PushArrived struct {
+	Ticket  model.Ticket
+	Changes []model.Change
+	// The changes include every write after After up to Upto. An Upto of zero
+	// means that they are single objects.
+	After model.Version
+	Upto  model.Version
+}
+
+// VMsListed reports the platform's list of VMs.
+type VMsListed struct {
+	// SentAt was read before the call was sent.
+	SentAt time.Time
+	// Addresses are the IP numbers of all listed VMs, leaving ones included.
+	Addresses []string
+}
+
+func (AuthorityChanged) isEvent()   {}
+func (CrashCountsArrived) isEvent() {}
+func (CrashCountsChanged) isEvent() {}
+func (ExchangeAnswered) isEvent()   {}
+func (ExchangeAsked) isEvent()      {}
+func (ExchangeFailed) isEvent()     {}
+func (FetchAnswered) isEvent()      {}
+func (FetchAsked) isEvent()         {}
+func (FetchFailed) isEvent()        {}
+func (FetchWanted) isEvent()        {}
+func (ForgetAsked) isEvent()        {}
+func (FreshnessChanged) isEvent()   {}
+func (LeaveAsked) isEvent()         {}
+func (PushArrived) isEvent()        {}
+func (VMsListed) isEvent()          {}
--- a/core/model/config.go
+++ b/core/model/config.go
@@ -40,6 +40,9 @@
 type Roster struct {
 	Region  RegionName
 	Members []Member
+	// Former lists evicted members whose processes may still run with an older
+	// roster. They have no share and count only for the settled version.
+	Former []Member
 }
 
 // Route maps a path prefix to a plain service.
--- a/io/codec/config.go
+++ b/io/codec/config.go
@@ -36,6 +36,7 @@
 type wireRoster struct {
 	Region  model.RegionName
 	Members []json.RawMessage
+	Former  []json.RawMessage `json:",omitempty"`
 }
 
 type wireRoute struct {
@@ -156,6 +157,18 @@
 	return key, nil
 }
 
+func decodeMembers(raws []json.RawMessage) ([]model.Member, error) {
+	var members []model.Member
+	for _, raw := range raws {
+		member, err := strict[wireMember](raw)
+		if err != nil {
+			return nil, err
+		}
+		members = append(members, model.Member(member))
+	}
+	return members, nil
+}
+
 func decodeModel(data []byte) (any, error) {
 	wire, err := strict[wireModel](data)
 	if err != nil {
@@ -170,12 +183,11 @@
 		return nil, err
 	}
 	roster := model.Roster{Region: wire.Region}
-	for _, raw := range wire.Members {
-		member, err := strict[wireMember](raw)
-		if err != nil {
-			return nil, err
-		}
-		roster.Members = append(roster.Members, model.Member(member))
+	if roster.Members, err = decodeMembers(wire.Members); err != nil {
+		return nil, err
+	}
+	if roster.Former, err = decodeMembers(wire.Former); err != nil {
+		return nil, err
 	}
 	return roster, nil
 }
@@ -219,16 +231,25 @@
 	}, nil
 }
 
-func rosterWire(roster model.Roster) (wireRoster, error) {
-	wire := wireRoster{Region: roster.Region, Members: []json.RawMessage{}}
-	for _, member := range roster.Members {
+func encodeMembers(members []model.Member) ([]json.RawMessage, error) {
+	raws := []json.RawMessage{}
+	for _, member := range members {
 		raw, err := json.Marshal(wireMember(member))
 		if err != nil {
-			return wire, Malformed.Wrap(err, "member %s cannot be encoded", member.Name)
+			return nil, Malformed.Wrap(err, "member %s cannot be encoded", member.Name)
 		}
-		wire.Members = append(wire.Members, raw)
+		raws = append(raws, raw)
+	}
+	return raws, nil
+}
+
+func rosterWire(roster model.Roster) (wireRoster, error) {
+	members, err := encodeMembers(roster.Members)
+	if err != nil {
+		return wireRoster{}, err
 	}
-	return wire, nil
+	former, err := encodeMembers(roster.Former)
+	return wireRoster{Region: roster.Region, Members: members, Former: former}, err
 }
 
 func upstreamWire(v model.Upstream) wireUpstream {
--- a/io/codec/config_test.go
+++ b/io/codec/config_test.go
@@ -24,7 +24,7 @@
 		model.KindModel: model.Model{MaxTokens: 9},
 		model.KindRoster: model.Roster{Region: "r", Members: []model.Member{
 			{Name: "n", Address: "127.0.0.1:2", Zone: "z", Incarnation: 1<<64 - 1},
-		}},
+		}, Former: []model.Member{{Name: "o", Address: "127.0.0.1:3"}}},
 	} {
 		data, err := EncodeConfig(kind, value)
 		if err != nil {
