Relay configuration between nodes with bounded tombstones

A node without the store must get configuration from a peer, deletions included, and a page must say up to which version it is complete.

--- a/core/conf/conf.go
+++ b/core/conf/conf.go
@@ -38,8 +38,16 @@
 
 // State is the configuration in force. The zero value is not usable.
 type State struct {
-	version   model.Version
-	objects   *immutable.Map[objectID, entry]
+	version model.Version
+	// clean is the version up to which every deletion is known.
+	clean model.Version
+	// floor is the version up to which tombstones may be missing.
+	floor   model.Version
+	objects *immutable.Map[objectID, entry]
+	// order holds the last write of every object, graves those that are
+	// deletions.
+	order     *immutable.SortedMap[write, struct{}]
+	graves    *immutable.SortedMap[write, struct{}]
 	keys      *immutable.Map[model.KeyHash, model.Key]
 	templates *immutable.Map[model.AccountName, model.Template]
 	upstreams *immutable.Map[model.UpstreamName, model.Upstream]
@@ -55,6 +63,8 @@
 func New() State {
 	return State{
 		objects:   immutable.NewMap[objectID, entry](idHasher{}),
+		order:     immutable.NewSortedMap[write, struct{}](writeComparer{}),
+		graves:    immutable.NewSortedMap[write, struct{}](writeComparer{}),
 		keys:      immutable.NewMap[model.KeyHash, model.Key](hashHasher{}),
 		templates: immutable.NewMap[model.AccountName, model.Template](nil),
 		upstreams: immutable.NewMap[model.UpstreamName, model.Upstream](nil),
@@ -63,20 +73,25 @@
 	}
 }
 
-// Apply takes ConfigChanged and raises an event for each part of the
-// configuration that changed.
+// Apply takes configuration from the store and from peers, raises an event for
+// each part of it that changed, and serves peers that ask for it.
 func (s State) Apply(in step.Input[event.Event]) (State, Out) {
 	var out Out
-	changed, ok := in.Event.(event.ConfigChanged)
-	if !ok {
-		return s, out
-	}
-	for _, change := range changed.Changes {
-		s = s.withChange(change, &out)
-	}
-	if changed.Upto > s.version {
-		s.version = changed.Upto
-		out.Raise(event.VersionChanged{Version: s.version})
+	switch e := in.Event.(type) {
+	case event.ConfigChanged:
+		s = s.withChanges(e.Changes, &out)
+		s = s.withUpto(e.Upto, e.Upto, 0, &out)
+	case event.FetchAnswered:
+		// The store may have answered since the fetch was sent; a page from an
+		// older version may then lack tombstones.
+		if !e.Refused && e.After == s.version {
+			s = s.withChanges(e.Changes, &out)
+			s = s.withUpto(e.Upto, e.Clean, e.Floor, &out)
+		}
+	case event.FetchAsked:
+		s.answer(e, &out)
+	case event.FetchWanted:
+		s.fetch(e.Peer, &out)
 	}
 	return s, out
 }
@@ -153,12 +168,21 @@
 // Version returns the version in force.
 func (s State) Version() model.Version { return s.version }
 
-// withChange applies one write unless a newer one of the object is held. An
-// invalid write leaves the valid value in force.
+func (s State) withChanges(changes []model.Change, out *Out) State {
+	for _, change := range changes {
+		s = s.withChange(change, out)
+	}
+	return s
+}
+
+// withChange applies one write unless a newer one of the object is held. The
+// copy is complete up to the version in force, so an unknown object with a lower
+// version has been deleted and its tombstone dropped. An invalid write leaves
+// the valid value in force.
 func (s State) withChange(change model.Change, out *Out) State {
 	id := objectID{change.Kind, change.Name}
-	held, _ := s.objects.Get(id)
-	if change.Version <= held.seen {
+	held, known := s.objects.Get(id)
+	if change.Version <= held.seen || !known && change.Version <= s.version {
 		return s
 	}
 	next := entry{
@@ -178,10 +202,9 @@
 	}
 	if next.fault != "" {
 		next.value = held.value
-		s.objects = s.objects.Set(id, next)
-		return s
+		return s.withEntry(id, held, next)
 	}
-	s.objects = s.objects.Set(id, next)
+	s = s.withEntry(id, held, next)
 	return s.withValue(id, held.value, next, out)
 }
 
--- a/core/effect/peers.go
+++ b/core/effect/peers.go
@@ -34,6 +34,8 @@
 	Upto model.Version
 	// Clean is the version up to which the changes hold no deleted object.
 	Clean model.Version
+	// Floor is the version up to which tombstones may be missing.
+	Floor model.Version
 	// Refused tells that not every deletion after the asked version is known.
 	Refused bool
 }
--- a/core/event/peers.go
+++ b/core/event/peers.go
@@ -60,6 +60,8 @@
 	// Clean is the version up to which the answer holds no object that was
 	// deleted.
 	Clean model.Version
+	// Floor is the version up to which the peer may lack tombstones.
+	Floor model.Version
 	// Refused tells that the peer no longer knows every deletion after After.
 	Refused bool
 }
