--- /dev/null
+++ b/cmd/caroblaned/main.go
@@ -0,0 +1,16 @@
+// Command caroblaned is the entry daemon that runs on each entry VM.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	code := run(ctx, os.Args, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/cmd/caroblaned/run.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"runtime/debug"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"caroblane/core/model"
+	"caroblane/io/entry"
+	"caroblane/io/logs"
+	"caroblane/io/plat"
+	"caroblane/io/setup"
+)
+
+// The exit codes of the daemon.
+const (
+	exitOK = iota
+	exitFailure
+	exitUsage
+)
+
+const exampleText = `Example:
+   caroblaned --settings /etc/caroblane/caroblaned.ini
+   caroblaned --settings caroblaned.ini --check
+
+Exit codes:
+   0  drained without cutting a request
+   1  failed, or requests were still open at the drain deadline
+   2  wrong arguments or settings`
+
+// run starts the daemon and returns its exit code.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	code := exitOK
+	command := &cli.Command{
+		Name:        "caroblaned",
+		Usage:       "entry daemon of caroblane",
+		Description: exampleText,
+		Version:     version(),
+		Writer:      stdout,
+		ErrWriter:   stderr,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "read settings from `FILE`", Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			var err error
+			code, err = serve(ctx, c.String("settings"), c.Bool("check"), stdout, stderr)
+			return err
+		},
+	}
+	if err := command.Run(ctx, args); err != nil {
+		_, _ = fmt.Fprintf(stderr, "caroblaned: %v\n", err)
+		if code == exitOK {
+			code = exitUsage
+		}
+	}
+	return code
+}
+
+func serve(ctx context.Context, path string, check bool, stdout, stderr io.Writer) (int, error) {
+	settings, err := setup.Load(path)
+	if err != nil {
+		return exitUsage, err
+	}
+	if check {
+		_, err := fmt.Fprintf(stdout, "%s is valid\n", path)
+		return exitOK, err
+	}
+	log, err := logs.New(stderr, settings.Log.Level, time.Now)
+	if err != nil {
+		return exitUsage, err
+	}
+	listeners, err := entry.Listen(settings)
+	if err != nil {
+		return exitFailure, err
+	}
+	node, err := entry.New(settings, listeners, model.Incarnation(rand.Uint64()), log, plat.SystemClock{})
+	if err != nil {
+		return exitFailure, err
+	}
+	if err := node.Run(ctx); err != nil {
+		return exitFailure, err
+	}
+	return exitOK, nil
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	return info.Main.Version
+}
--- a/core/model/enums.go
+++ b/core/model/enums.go
@@ -1,6 +1,9 @@
 package model
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 //go:generate go tool stringer -type=Execution,KeyState,Kind,Outcome,Reason,RequestKind,RetryReason,Role,UpstreamKind,UpstreamState -output=enums_string.go
 
@@ -46,6 +49,9 @@
 	KindUsage
 )
 
+// Name returns the name of the kind in the platform's store.
+func (k Kind) Name() string { return strings.TrimPrefix(k.String(), "Kind") }
+
 // Outcome tells how an attempt at an upstream ended.
 type Outcome int
 
--- a/fake/engine/http.go
+++ b/fake/engine/http.go
@@ -124,6 +124,8 @@
 			"header Last-Event-ID: accepted: <X-Request-Id>/<attempt>/<offset>")
 		return
 	}
+	w.Header().Set("X-Request-Id", s.id)
+	w.Header().Set("X-Attempt", s.try)
 	priority, _ := strconv.Atoi(r.Header.Get("X-Priority"))
 	call, err := e.Open(r, true, func(ticket uint64) Event {
 		if s.id == "" {
--- a/io/plat/client.go
+++ b/io/plat/client.go
@@ -197,7 +197,7 @@
 }
 
 func objectPath(kind model.Kind, name string) string {
-	return "/objects/" + kindName(kind) + "/" + url.PathEscape(name)
+	return "/objects/" + kind.Name() + "/" + url.PathEscape(name)
 }
 
 // unsent returns the answer to a call that was not made.
--- a/io/plat/watch.go
+++ b/io/plat/watch.go
@@ -48,7 +48,7 @@
 
 func configKind(name string) (model.Kind, bool) {
 	for kind := model.KindTemplate; kind <= model.KindRoster; kind++ {
-		if kindName(kind) == name {
+		if kind.Name() == name {
 			return kind, true
 		}
 	}
@@ -58,7 +58,7 @@
 func configKinds() string {
 	var names []string
 	for kind := model.KindTemplate; kind <= model.KindRoster; kind++ {
-		names = append(names, kindName(kind))
+		names = append(names, kind.Name())
 	}
 	return strings.Join(names, ",")
 }
--- a/io/plat/wire.go
+++ b/io/plat/wire.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"strings"
 
 	"caroblane/core/model"
 	"caroblane/io/codec"
@@ -27,9 +26,6 @@
 	Objects   []wireObject
 }
 
-// kindName returns the name of a kind in paths.
-func kindName(kind model.Kind) string { return strings.TrimPrefix(kind.String(), "Kind") }
-
 // change decodes an object. A value that cannot be decoded is reported in the
 // field Fault.
 func (o wireObject) change(kind model.Kind) model.Change {
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -39,6 +39,9 @@
 type reader struct {
 	body *bufio.Reader
 	line []byte
+	// id is that of the last event that had one. The SSE standard passes it on
+	// to events without an id field.
+	id []byte
 }
 
 // event is one server-sent event. Its slices are valid until the next call.
@@ -124,13 +127,13 @@
 		switch {
 		case len(line) == 0:
 			if e.data != nil {
+				e.id = r.id
 				return e, nil
 			}
-			e.id = nil
 		case bytes.HasPrefix(line, dataField):
 			e.data = bytes.TrimPrefix(line[len(dataField):], []byte(" "))
 		case bytes.HasPrefix(line, idField):
-			e.id = bytes.TrimPrefix(line[len(idField):], []byte(" "))
+			r.id = append(r.id[:0], bytes.TrimPrefix(line[len(idField):], []byte(" "))...)
 		}
 	}
 }
