Measure the time added to the first token and the relayed tokens a second

Change: benchmarks over the loopback installation, paired in one run with a client that calls the engine stand-ins directly.

--- a/io/cmds/dev.go
+++ b/io/cmds/dev.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	installation, err := stack.New(ctx, log)
+	installation, err := stack.New(ctx, stack.DefaultOptions(), log)
 	if err != nil {
 		return err
 	}
--- a/io/stack/stack.go
+++ b/io/stack/stack.go
@@ -35,8 +35,6 @@
 	// SendPath is the route whose calls may not be repeated.
 	SendPath = "/send/"
 
-	nodes     = 3
-	engines   = 3
 	readyPoll = 10 * time.Millisecond
 )
 
@@ -53,8 +51,10 @@
 
 // Stack is a running installation.
 type Stack struct {
+	options  Options
 	callers  []string
 	admins   []string
+	engines  []string
 	nodes    *group
 	standIns *group
 }
@@ -67,10 +67,23 @@
 	parts int
 }
 
+// Options choose what an installation consists of.
+type Options struct {
+	Nodes   int
+	Engines int
+	// Engine are the settings of the engine stand-ins.
+	Engine engine.Settings
+}
+
+// DefaultOptions returns three nodes before three engines.
+func DefaultOptions() Options {
+	return Options{Nodes: 3, Engines: 3, Engine: engine.DefaultSettings()}
+}
+
 // New starts an installation. It runs until Stop.
-func New(ctx context.Context, log zerolog.Logger) (*Stack, error) {
+func New(ctx context.Context, options Options, log zerolog.Logger) (*Stack, error) {
 	ctx = context.WithoutCancel(ctx)
-	s := &Stack{nodes: newGroup(ctx), standIns: newGroup(ctx)}
+	s := &Stack{options: options, nodes: newGroup(ctx, options.Nodes), standIns: newGroup(ctx, options.Engines+2)}
 	platform, err := s.startStandIns()
 	if err == nil {
 		err = s.startNodes(platform, log)
@@ -88,6 +101,9 @@
 // Callers returns the addresses of the nodes' caller listeners.
 func (s *Stack) Callers() []string { return s.callers }
 
+// Engines returns the addresses of the engine stand-ins.
+func (s *Stack) Engines() []string { return s.engines }
+
 // Ready returns when every node admits requests.
 func (s *Stack) Ready(ctx context.Context) error {
 	ticker := time.NewTicker(readyPoll)
@@ -112,20 +128,20 @@
 // startStandIns returns the address of the platform.
 func (s *Stack) startStandIns() (netip.AddrPort, error) {
 	objects := &seed{}
-	objects.add(model.KindTemplate, "demo", model.Template{Rate: 1000, Burst: 1000})
+	objects.add(model.KindTemplate, "demo", model.Template{Rate: 100_000, Burst: 100_000})
 	objects.add(model.KindKey, "demo-1", model.Key{Account: "demo", Hash: sha256.Sum256([]byte(Key))})
 	objects.add(model.KindModel, Model, model.Model{MaxTokens: 4096})
-	for i := range engines {
+	for i := range s.options.Engines {
 		listener, err := listen()
 		if err != nil {
 			return netip.AddrPort{}, err
 		}
-		settings := engine.DefaultSettings()
+		s.engines = append(s.engines, listener.Addr().String())
 		objects.add(model.KindUpstream, fmt.Sprintf("engine-%d", i+1), model.Upstream{
 			Kind: model.UpstreamEngine, Address: listener.Addr().String(), Zone: zone(i),
-			Models: []model.ModelName{Model}, Slots: settings.Slots, ChecksEpoch: true,
+			Models: []model.ModelName{Model}, Slots: s.options.Engine.Slots, ChecksEpoch: true,
 		})
-		s.standIns.run(engine.New(listener, engine.NewState(settings), random(), time.Now))
+		s.standIns.run(engine.New(listener, engine.NewState(s.options.Engine), random(), time.Now))
 	}
 	listener, err := listen()
 	if err != nil {
@@ -148,7 +164,7 @@
 }
 
 func (s *Stack) startNodes(platform netip.AddrPort, log zerolog.Logger) error {
-	for i := range nodes {
+	for i := range s.options.Nodes {
 		var l entry.Listeners
 		for _, listener := range []*net.Listener{&l.Callers, &l.Peers, &l.Admin} {
 			opened, err := listen()
@@ -172,9 +188,9 @@
 	return nil
 }
 
-func newGroup(ctx context.Context) *group {
+func newGroup(ctx context.Context, most int) *group {
 	ctx, stop := context.WithCancel(ctx)
-	return &group{ctx: ctx, stop: stop, ends: make(chan error, nodes+engines+2)}
+	return &group{ctx: ctx, stop: stop, ends: make(chan error, most)}
 }
 
 func (g *group) run(part runner) {
