--- a/core/model/request.go
+++ b/core/model/request.go
@@ -7,7 +7,9 @@
 	Status      int
 	ContentType string
 	// Body is empty when Truncated is set.
-	Body      []byte
+	Body []byte
+	// Length is that of the whole body in bytes.
+	Length    int
 	Truncated bool
 }
 
