--- a/core/model/records.go
+++ b/core/model/records.go
@@ -25,7 +25,7 @@
 
 // Claim is the object Claim/<shard>: the claims of one shard.
 type Claim struct {
-	// Entries are in the order in which they were first written.
+	// Entries are sorted by Account, then by Key.
 	Entries []ClaimEntry
 }
 
