Add provisions, usage, the VM list and weights to the store stand-in

A watch over some kinds now moves its cursor only with writes of these kinds. With the store-wide revision as cursor, the version in force of every node would have risen with each claim, so that nodes would never agree on one.

--- a/fake/store/event.go
+++ b/fake/store/event.go
@@ -15,9 +15,33 @@
 	Name   string
 }
 
+// GetVMs asks for the VM list.
+type GetVMs struct{ Ticket uint64 }
+
+// GetWeights asks for the weights of a model.
+type GetWeights struct {
+	Ticket uint64
+	Model  string
+}
+
 // Gone tells that the caller of a watch has closed its connection.
 type Gone struct{ Ticket uint64 }
 
+// PostProvision orders upstreams.
+type PostProvision struct {
+	Ticket uint64
+	ID     string
+	Lease  string
+	Epoch  uint64
+	Order  json.RawMessage
+}
+
+// PostUsage reports the usage of a window.
+type PostUsage struct {
+	Ticket uint64
+	Report Report
+}
+
 // Put writes or deletes an object if it has the given version; zero means that
 // it must not exist.
 type Put struct {
@@ -30,6 +54,9 @@
 	Value     json.RawMessage
 }
 
+// SetVMs changes the VM list; readers see it after the lag.
+type SetVMs struct{ VMs []VM }
+
 // Tick is the timer event.
 type Tick struct{}
 
@@ -43,19 +70,25 @@
 	Until  time.Time
 }
 
-func (Get) isEvent()   {}
-func (Gone) isEvent()  {}
-func (Put) isEvent()   {}
-func (Tick) isEvent()  {}
-func (Watch) isEvent() {}
+func (Get) isEvent()           {}
+func (GetVMs) isEvent()        {}
+func (GetWeights) isEvent()    {}
+func (Gone) isEvent()          {}
+func (PostProvision) isEvent() {}
+func (PostUsage) isEvent()     {}
+func (Put) isEvent()           {}
+func (SetVMs) isEvent()        {}
+func (Tick) isEvent()          {}
+func (Watch) isEvent()         {}
 
 // Answer answers a call.
 type Answer struct {
 	Ticket uint64
 	Status int
-	Fault  *Fault
-	Object Object
-	Page   *Page
+	// Fault is set for a refusal, and Body otherwise.
+	Fault *Fault
+	// Body is an Object, Page, Provision, usageBody, vmsBody or Weights.
+	Body any
 }
 
 // Fault is the body of a refusal.
@@ -69,8 +102,12 @@
 type Page struct {
 	// Revision is that of the whole store.
 	Revision uint64
-	// Next is the revision to continue after.
+	// Next is the revision to continue after: that of the last write of the
+	// asked kinds which the caller has seen. Writes of other kinds don't move
+	// it.
 	Next uint64
+	// More tells that writes are left over because of the limit.
+	More bool
 	// Coalesced tells that writes which the log no longer holds are left out
 	// where a later write of the same object exists.
 	Coalesced bool
--- a/fake/store/http.go
+++ b/fake/store/http.go
@@ -50,7 +50,14 @@
 	mux.HandleFunc("GET /objects/{kind}/{name}", s.handleGet)
 	mux.HandleFunc("PUT /objects/{kind}/{name}", s.handlePut)
 	mux.HandleFunc("DELETE /objects/{kind}/{name}", s.handlePut)
+	mux.HandleFunc("GET /provisions", s.handleProvisions)
+	mux.HandleFunc("POST /provisions/{id}", s.handleProvision)
 	mux.HandleFunc("GET /stats", s.handleStats)
+	mux.HandleFunc("GET /usage", s.handleReports)
+	mux.HandleFunc("POST /usage/{window}", s.handleUsage)
+	mux.HandleFunc("GET /vms", s.handleVMs)
+	mux.HandleFunc("POST /vms", s.handleSetVMs)
+	mux.HandleFunc("GET /weights/{model}", s.handleWeights)
 	return mux
 }
 
@@ -60,12 +67,9 @@
 }
 
 func (s *Store) handleGet(w http.ResponseWriter, r *http.Request) {
-	answer, ok := s.Ask(w, r, false, func(ticket uint64) Event {
+	s.ask(w, r, false, func(ticket uint64) Event {
 		return Get{Ticket: ticket, Kind: r.PathValue("kind"), Name: r.PathValue("name")}
 	})
-	if ok {
-		reply(w, answer)
-	}
 }
 
 func (s *Store) handlePut(w http.ResponseWriter, r *http.Request) {
@@ -88,7 +92,7 @@
 			return
 		}
 	}
-	answer, ok := s.Ask(w, r, true, func(ticket uint64) Event {
+	s.ask(w, r, true, func(ticket uint64) Event {
 		return Put{
 			Ticket:    ticket,
 			Kind:      r.PathValue("kind"),
@@ -99,9 +103,6 @@
 			Value:     body,
 		}
 	})
-	if ok {
-		reply(w, answer)
-	}
 }
 
 func (s *Store) handleWatch(w http.ResponseWriter, r *http.Request) {
@@ -134,7 +135,7 @@
 	if text := query.Get("kinds"); text != "" {
 		kinds = strings.Split(text, ",")
 	}
-	answer, ok := s.Ask(w, r, false, func(ticket uint64) Event {
+	s.ask(w, r, false, func(ticket uint64) Event {
 		return Watch{
 			Ticket: ticket,
 			After:  after,
@@ -143,9 +144,6 @@
 			Until:  s.now().Add(time.Duration(wait) * time.Millisecond),
 		}
 	})
-	if ok {
-		reply(w, answer)
-	}
 }
 
 type statsBody struct {
@@ -159,12 +157,9 @@
 }
 
 func reply(w http.ResponseWriter, answer Answer) {
-	switch {
-	case answer.Fault != nil:
+	if answer.Fault != nil {
 		serve.Refuse(w, answer.Status, answer.Fault.Reason, answer.Fault.Execution, answer.Fault.Message)
-	case answer.Page != nil:
-		serve.JSON(w, answer.Status, answer.Page)
-	default:
-		serve.JSON(w, answer.Status, answer.Object)
+		return
 	}
+	serve.JSON(w, answer.Status, answer.Body)
 }
--- a/fake/store/state.go
+++ b/fake/store/state.go
@@ -52,7 +52,8 @@
 	limits   Limits
 	revision uint64
 	kinds    *immutable.SortedMap[string, shelf]
-	watches  *immutable.SortedMap[uint64, watch]
+	watches  *immutable.SortedMap[uint64, Watch]
+	platform platform
 }
 
 // Limits bound what the stand-in keeps.
@@ -62,34 +63,54 @@
 	LogBytes  int
 	// ValueBytes bounds a value.
 	ValueBytes int
+	// VMLag is the age of the VM list that readers see.
+	VMLag time.Duration
+	// WeightBytes is the size of a model's weights, and WeightsPerSecond how
+	// often they may be fetched. Zero sets no limit.
+	WeightBytes      int
+	WeightsPerSecond float64
 }
 
 // DefaultLimits are those of the platform.
 func DefaultLimits() Limits {
-	return Limits{LogWrites: 10_000, LogBytes: 64 << 20, ValueBytes: 1 << 20}
-}
-
-type watch struct {
-	request Watch
+	return Limits{LogWrites: 10_000, LogBytes: 64 << 20, ValueBytes: 1 << 20, VMLag: 2 * time.Second, WeightBytes: 1 << 30, WeightsPerSecond: 2}
 }
 
 // NewState returns an empty store.
 func NewState(limits Limits) State {
 	return State{
-		limits:  limits,
-		kinds:   immutable.NewSortedMap[string, shelf](nil),
-		watches: immutable.NewSortedMap[uint64, watch](nil),
+		limits:   limits,
+		kinds:    immutable.NewSortedMap[string, shelf](nil),
+		watches:  immutable.NewSortedMap[uint64, Watch](nil),
+		platform: newPlatform(),
 	}
 }
 
 // Apply executes one call.
 func (s State) Apply(in step.Input[Event]) (State, []Answer) {
 	var out []Answer
+	s.platform = s.platform.listed(in.At)
 	switch e := in.Event.(type) {
 	case Get:
 		out = append(out, s.get(e))
 	case Put:
 		s, out = s.put(e, out)
+	case GetVMs:
+		out = append(out, Answer{Ticket: e.Ticket, Status: http.StatusOK, Body: vmsBody{VMs: s.platform.vms}})
+	case GetWeights:
+		var a Answer
+		s.platform, a = s.platform.weights(e, s.limits, in.At)
+		out = append(out, a)
+	case PostProvision:
+		var a Answer
+		s.platform, a = s.platform.provision(e)
+		out = append(out, a)
+	case PostUsage:
+		var a Answer
+		s.platform, a = s.platform.report(e)
+		out = append(out, a)
+	case SetVMs:
+		s.platform.coming = s.platform.coming.Append(listing{due: in.At.Add(s.limits.VMLag), vms: e.VMs})
 	case Watch:
 		s, out = s.watch(e, in.At, out)
 	case Gone:
@@ -105,7 +126,7 @@
 	var next time.Time
 	for itr := s.watches.Iterator(); !itr.Done(); {
 		_, w, _ := itr.Next()
-		next = step.Earliest(next, w.request.Until)
+		next = step.Earliest(next, w.Until)
 	}
 	return next
 }
@@ -124,14 +145,14 @@
 func (s State) get(e Get) Answer {
 	object, ok := s.shelf(e.Kind).objects.Get(e.Name)
 	if !ok || object.Deleted {
-		return Answer{Ticket: e.Ticket, Status: http.StatusNotFound, Fault: fault("NotFound"), Object: object}
+		return refuseCall(e.Ticket, http.StatusNotFound, "NotFound", "no such object")
 	}
-	return Answer{Ticket: e.Ticket, Status: http.StatusOK, Object: object}
+	return Answer{Ticket: e.Ticket, Status: http.StatusOK, Body: object}
 }
 
 func (s State) put(e Put, out []Answer) (State, []Answer) {
 	if len(e.Value) > s.limits.ValueBytes {
-		return s, append(out, Answer{Ticket: e.Ticket, Status: http.StatusRequestEntityTooLarge, Fault: fault("TooLarge")})
+		return s, append(out, refuseCall(e.Ticket, http.StatusRequestEntityTooLarge, "TooLarge", "value is over the limit"))
 	}
 	held := s.shelf(e.Kind)
 	old, exists := held.objects.Get(e.Name)
@@ -140,7 +161,7 @@
 		version = 0
 	}
 	if version != e.IfVersion || (e.Delete && version == 0) {
-		return s, append(out, Answer{Ticket: e.Ticket, Status: http.StatusPreconditionFailed, Fault: fault("Conflict"), Object: old})
+		return s, append(out, refuseCall(e.Ticket, http.StatusPreconditionFailed, "Conflict", "object has another version"))
 	}
 	s.revision++
 	next := Object{
@@ -153,7 +174,7 @@
 		Value:      e.Value,
 	}
 	s.kinds = s.kinds.Set(e.Kind, held.with(old, next, s.limits))
-	out = append(out, Answer{Ticket: e.Ticket, Status: http.StatusOK, Object: next})
+	out = append(out, Answer{Ticket: e.Ticket, Status: http.StatusOK, Body: next})
 	return s.wake(out)
 }
 
@@ -177,7 +198,7 @@
 
 // page collects the writes after a version.
 func (s State) page(e Watch) Page {
-	p := Page{Revision: s.revision, Next: s.revision}
+	p := Page{Revision: s.revision, Next: e.After}
 	for itr := s.kinds.Iterator(); !itr.Done(); {
 		kind, held, _ := itr.Next()
 		if len(e.Kinds) > 0 && !slices.Contains(e.Kinds, kind) {
@@ -193,7 +214,10 @@
 	slices.SortFunc(p.Objects, func(a, b Object) int { return cmp.Compare(a.Version, b.Version) })
 	if len(p.Objects) > e.Limit {
 		p.Objects = p.Objects[:e.Limit]
-		p.Next = p.Objects[e.Limit-1].Version
+		p.More = true
+	}
+	if len(p.Objects) > 0 {
+		p.Next = p.Objects[len(p.Objects)-1].Version
 	}
 	return p
 }
@@ -232,9 +256,9 @@
 func (s State) watch(e Watch, at time.Time, out []Answer) (State, []Answer) {
 	p := s.page(e)
 	if len(p.Objects) > 0 || !e.Until.After(at) {
-		return s, append(out, Answer{Ticket: e.Ticket, Status: http.StatusOK, Page: &p})
+		return s, append(out, Answer{Ticket: e.Ticket, Status: http.StatusOK, Body: p})
 	}
-	s.watches = s.watches.Set(e.Ticket, watch{request: e})
+	s.watches = s.watches.Set(e.Ticket, e)
 	return s, out
 }
 
@@ -242,9 +266,9 @@
 func (s State) wake(out []Answer) (State, []Answer) {
 	for itr := s.watches.Iterator(); !itr.Done(); {
 		ticket, w, _ := itr.Next()
-		if p := s.page(w.request); len(p.Objects) > 0 {
+		if p := s.page(w); len(p.Objects) > 0 {
 			s.watches = s.watches.Delete(ticket)
-			out = append(out, Answer{Ticket: ticket, Status: http.StatusOK, Page: &p})
+			out = append(out, Answer{Ticket: ticket, Status: http.StatusOK, Body: p})
 		}
 	}
 	return s, out
@@ -253,13 +277,11 @@
 func (s State) expire(at time.Time, out []Answer) (State, []Answer) {
 	for itr := s.watches.Iterator(); !itr.Done(); {
 		ticket, w, _ := itr.Next()
-		if !w.request.Until.After(at) {
-			p := s.page(w.request)
+		if !w.Until.After(at) {
+			p := s.page(w)
 			s.watches = s.watches.Delete(ticket)
-			out = append(out, Answer{Ticket: ticket, Status: http.StatusOK, Page: &p})
+			out = append(out, Answer{Ticket: ticket, Status: http.StatusOK, Body: p})
 		}
 	}
 	return s, out
 }
-
-func fault(reason string) *Fault { return &Fault{Reason: reason, Execution: "NotRun"} }
--- a/io/plat/watch.go
+++ b/io/plat/watch.go
@@ -19,10 +19,10 @@
 const pageLimit = 1_000
 
 // cursor is the progress of the watch. Changes are held back until they are
-// complete: up to a page that reaches the revision which the store had when
-// the page was asked for. A node that took a part of a coalesced answer for
-// all writes up to its last version could miss a withdrawal that a later page
-// holds.
+// complete, up to a page that leaves nothing over. A node that took a part of a
+// coalesced answer for all writes up to its last version could miss a
+// withdrawal that a later page holds; and a part does not prove that the node
+// has every write accepted before the call was sent.
 type cursor struct {
 	after   model.Version
 	pending []model.Change
@@ -38,7 +38,7 @@
 		}
 	}
 	c.after = max(c.after, p.Next)
-	if p.Next < p.Revision {
+	if p.More {
 		return c, event.ConfigChanged{}, false
 	}
 	changed := event.ConfigChanged{Changes: c.pending, Upto: c.after, SentAt: sentAt, FromStore: true}
--- a/io/plat/wire.go
+++ b/io/plat/wire.go
@@ -23,6 +23,7 @@
 type wirePage struct {
 	Revision  model.Version
 	Next      model.Version
+	More      bool
 	Coalesced bool
 	Objects   []wireObject
 }
