--- a/core/node/bench_test.go
+++ b/core/node/bench_test.go
@@ -45,7 +45,7 @@
 			Address: "127.0.0.1:1", Slots: 64, Models: []model.ModelName{model.ModelName(fmt.Sprintf("model-%d", i%6))},
 		})
 	}
-	s := New(peers.New(), limit.New(), claim.New())
+	s := New(peers.New(), limit.New(), claim.New(claim.DefaultSettings(), 1))
 	s, _ = s.Apply(Input{At: at, Event: event.ConfigChanged{
 		Changes: changes, Upto: model.Version(len(changes)), SentAt: at, FromStore: true,
 	}})
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -121,7 +121,7 @@
 	}
 	replyDesk := desk.New()
 	all := &executors{}
-	initial := node.New(peers.New(), limit.New(), claim.New())
+	initial := node.New(peers.New(), limit.New(), claim.New(claim.DefaultSettings(), incarnation))
 	n.loop = loop.New[node.State, event.Event, effect.Effect](
 		initial, all, event.Tick{}, settings.Limits.QueueCapacity, random(), clock.Now)
 	n.platform = plat.New(
