--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -22,6 +22,7 @@
 
 const (
 	dialTimeout     = 2 * time.Second
+	probeTimeout    = 250 * time.Millisecond
 	maxIdlePerHost  = 256
 	maxRecordedBody = 2 << 10
 	// bufferedAnswer is how much of an answer is held back before the first
@@ -68,6 +69,7 @@
 
 // Client sends attempts.
 type Client struct {
+	dialer *net.Dialer
 	reused *http.Transport
 	// fresh opens a connection for each request. net/http resends a request on
 	// its own when a reused connection breaks and the request is idempotent by
@@ -106,7 +108,7 @@
 			ReadBufferSize:      copyBuffer,
 		}
 	}
-	c := &Client{reused: transport(), fresh: transport()}
+	c := &Client{dialer: dialer, reused: transport(), fresh: transport()}
 	c.fresh.DisableKeepAlives = true
 	return c
 }
@@ -122,6 +124,14 @@
 
 // Run sends one attempt and passes its answer to the sink.
 func (c *Client) Run(ctx context.Context, a Attempt, sink Sink) Result {
+	result := c.run(ctx, a, sink)
+	if result.Outcome == model.Broken {
+		result.Crashed = c.crashed(ctx, a, result.Err)
+	}
+	return result
+}
+
+func (c *Client) run(ctx context.Context, a Attempt, sink Sink) Result {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var sent atomic.Bool
@@ -193,15 +203,30 @@
 	return a.broken(ctx, a.Resume, err)
 }
 
+// broken classifies an error after the request may have reached the upstream.
 func (a Attempt) broken(ctx context.Context, passed int, err error) Result {
-	r := Result{Outcome: model.Broken, TokensPassed: passed, Err: err}
 	if ctx.Err() != nil {
-		r.Outcome = model.CallerLeft
-		return r
+		return Result{Outcome: model.CallerLeft, TokensPassed: passed, Err: err}
+	}
+	return Result{Outcome: model.Broken, TokensPassed: passed, Err: err}
+}
+
+// crashed tells whether the upstream's process has ended: its connection broke
+// and its VM refuses new ones. A network fault alone must not count, or the
+// request would be blamed for it.
+func (c *Client) crashed(ctx context.Context, a Attempt, err error) bool {
+	if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) &&
+		!errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	conn, err := c.dialer.DialContext(ctx, "tcp", a.Upstream.Address)
+	if err == nil {
+		_ = conn.Close()
+		return false
 	}
-	r.Crashed = errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
-		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-	return r
+	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
 // copy passes on an answer that is no event stream. It holds back the first
