--- a/cmd/caroblaned/harness_test.go
+++ b/cmd/caroblaned/harness_test.go
@@ -177,7 +177,7 @@
 }
 
 // install starts stand-ins and entry nodes and waits until they are ready.
-func install(t *testing.T, nodes int, extra ...object) *installation {
+func install(t *testing.T, nodes int) *installation {
 	t.Helper()
 	in := &installation{t: t, dir: t.TempDir()}
 	var objects []object
@@ -198,7 +198,7 @@
 		object{"Template", "account", map[string]any{"Rate": 1000, "Burst": 1000}},
 		object{"Key", "key", map[string]any{"Account": "account", "Hash": hex.EncodeToString(hash[:]), "State": "Active"}},
 	)
-	in.store = in.standIn("store", "--seed", in.file("seed.json", append(objects, extra...)))
+	in.store = in.standIn("store", "--seed", in.file("seed.json", objects))
 	for i := range nodes {
 		in.addNode(i)
 	}
