Add the operators' command line

Operators create templates, keys, upstreams, routes and models while traffic is running, and need to see when a configuration is in force.

Each command is a plan: it names the objects to read and a pure function that decides the writes. The executor validates every write before it makes the first, makes each conditional on the version that was read, and settles a lost answer by repeating the write with the same condition and nonce. template edit takes Field=Value flags and starts no editor, because processes start no others.

Not done: the push to the nodes after a key is withdrawn (io/link is not there yet).

--- /dev/null
+++ b/io/cmds/execute_test.go
@@ -0,0 +1,73 @@
+package cmds_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"caroblane/io/cmds"
+)
+
+// meanwhile calls a function before the first random number is drawn: after a
+// command has read its objects and before it writes.
+type meanwhile struct{ do func() }
+
+func (m *meanwhile) Read(data []byte) (int, error) {
+	if m.do != nil {
+		m.do()
+		m.do = nil
+	}
+	return len(data), nil
+}
+
+// TestConcurrentChange guards against an edit that overwrites a change made
+// between its read and its write.
+func TestConcurrentChange(t *testing.T) {
+	s := startStore(t, seed(t, "Template", "acme", `{"Rate":5,"Burst":10}`))
+	env := cmds.System()
+	env.Random = &meanwhile{func() {
+		if code, _, stderr := run(cmds.System(), s.Addr(), "template", "edit", "acme", "--set", "Rate=7"); code != 0 {
+			t.Error(stderr)
+		}
+	}}
+	code, _, stderr := run(env, s.Addr(), "template", "edit", "acme", "--set", "Burst=99")
+	checkLine(t.Fatalf, stderr)
+	if code != cmds.CodeConflict {
+		t.Errorf("code %d, %s", code, stderr)
+	}
+	if _, out, _ := run(cmds.System(), s.Addr(), "template", "show", "acme", "--json"); strings.Contains(out, "99") || !strings.Contains(out, `"Rate": 7`) {
+		t.Errorf("the later edit took effect: %s", out)
+	}
+}
+
+// TestLostAnswers guards against writes that are reported as failed or made
+// twice when only their answer was lost, and against certainty where there is
+// none.
+func TestLostAnswers(t *testing.T) {
+	for name, test := range map[string]struct {
+		faults string
+		code   int
+		want   string
+	}{
+		"one":  {`{"LoseAnswers":1}`, 0, "updated, version 2"},
+		"all":  {`{"LoseAnswersAfterWrite":true}`, cmds.CodeUnreachable, "may have been updated"},
+		"down": {`{"Down":true}`, cmds.CodeUnreachable, "may have been updated"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startStore(t, seed(t, "Template", "acme", `{"Rate":5,"Burst":10}`))
+			env := cmds.System()
+			env.Random = &meanwhile{func() {
+				if err := send(http.MethodPost, "http://"+s.Addr()+"/faults", test.faults); err != nil {
+					t.Error(err)
+				}
+			}}
+			code, stdout, stderr := run(env, s.Addr(), "template", "edit", "acme", "--set", "Rate=7")
+			if code != test.code || !strings.Contains(stdout+stderr, test.want) {
+				t.Errorf("code %d, %s%s", code, stdout, stderr)
+			}
+			if revision := s.Snapshot().Inner().Revision(); revision > 2 {
+				t.Errorf("the write took effect %d times", revision-1)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/io/cmds/template.go
@@ -0,0 +1,69 @@
+package cmds
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/urfave/cli/v3"
+
+	"caroblane/core/model"
+)
+
+func (r *runner) templateCommand() *cli.Command {
+	number := func(v float64) string { return strconv.FormatFloat(v, 'g', -1, 64) }
+	templates := resource[model.Template]{noun: "template", kind: model.KindTemplate, columns: []column[model.Template]{
+		{"RATE/S", func(t model.Template) string { return number(t.Rate) }},
+		{"BURST", func(t model.Template) string { return number(t.Burst) }},
+		{"PRIORITY", func(t model.Template) string { return strconv.Itoa(t.Priority) }},
+		{"CHEAP", func(t model.Template) string { return number(t.CheapShare) }},
+		{"MODELS", func(t model.Template) string {
+			if len(t.Models) == 0 {
+				return "all"
+			}
+			return join(t.Models)
+		}},
+	}}
+	return group("template", "templates of client accounts",
+		listCommand(r, templates, nil),
+		showCommand(r, templates),
+		applyCommand(r, templates),
+		r.templateEdit(),
+		r.templateDelete(),
+	)
+}
+
+func (r *runner) templateDelete() *cli.Command {
+	return r.leaf(spec{
+		name: "delete", usage: "delete the template of a client account", args: "NAME",
+		about:   "A template whose account has active keys is kept: withdraw the keys first, or give --force.",
+		example: "caroblane template delete acme --if-version 17",
+		flags:   []cli.Flag{seenFlag(), &cli.BoolFlag{Name: "force", Usage: "delete even though active keys stop working"}},
+		action: func(ctx context.Context, cmd *cli.Command, args []string) error {
+			return r.change(ctx, planDeleteTemplate(args[0], seenOf(cmd), cmd.Bool("force")))
+		},
+	})
+}
+
+func (r *runner) templateEdit() *cli.Command {
+	return r.leaf(spec{
+		name: "edit", usage: "change fields of a template", args: "NAME",
+		about: "The other fields keep their values. If somebody else changes the template meanwhile, the command reports\n" +
+			"a conflict and changes nothing. Fields: Models (names separated by commas), Priority, Rate, Burst, CheapShare.",
+		example: "caroblane template edit acme --set Rate=50 --set Burst=100",
+		flags: []cli.Flag{
+			seenFlag(),
+			&cli.StringSliceFlag{Name: "set", Usage: "field and value as Field=Value, may be repeated"},
+		},
+		action: func(ctx context.Context, cmd *cli.Command, args []string) error {
+			settings := cmd.StringSlice("set")
+			if len(settings) == 0 {
+				return Usage.New("flag --set is missing; accepted: Field=Value")
+			}
+			change, err := edited(settings)
+			if err != nil {
+				return err
+			}
+			return r.change(ctx, planChange(ref{model.KindTemplate, args[0]}, seenOf(cmd), change))
+		},
+	})
+}
