--- a/cmd/caroblane/main.go
+++ b/cmd/caroblane/main.go
@@ -1,4 +1,4 @@
-// Command caroblane is the operators' command line.
+// The caroblane command is the operators' command line.
 package main
 
 import (
@@ -11,8 +11,8 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	code := cmds.Run(ctx, os.Args, os.Stdout, os.Stderr)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := cmds.Run(ctx, os.Args, cmds.System())
 	stop()
 	os.Exit(code)
 }
