Add the rest of the platform client and its contract tests

The client reads the VM list, orders upstreams, reports usage and reads the weight store. Records go through io/codec. The stand-ins can end their listener and all connections and come back, as a crashed process does.

The contract tests found one fault: ObjectAmbiguous had no time of sending, so a lease holder could not have used a renewal that it read back. They cover answers lost, cut, late or from another server, conflicts, rate limits, oversized values, a truncated log and a store that has lost writes.

--- a/fake/engine/batch.go
+++ b/fake/engine/batch.go
@@ -37,6 +37,7 @@
 		}
 	}
 	s, out = s.tell(grown, out)
+	s = s.forgotten()
 	s.load = s.load.sampled(s.loadBody(at), at, s.settings.LoadLag)
 	return s, out
 }
@@ -152,7 +153,7 @@
 		}
 		s.runs = s.runs.Set(r.id, r)
 	}
-	return s.forgotten()
+	return s
 }
 
 // forgotten drops the oldest ended requests over the bound.
@@ -160,7 +161,7 @@
 	for s.held.Len() > s.settings.MaxHeld {
 		id := s.held.Get(0)
 		s.held = s.held.Slice(1, s.held.Len())
-		if r, ok := s.runs.Get(id); ok && r.phase == ended && r.ticket == 0 {
+		if r, ok := s.runs.Get(id); ok && r.phase == ended {
 			s.runs = s.runs.Delete(id)
 		}
 	}
--- a/fake/engine/event.go
+++ b/fake/engine/event.go
@@ -129,8 +129,8 @@
 	CachedTokens int
 	// Cut closes the connection after Upto.
 	Cut bool
-	// Foreign is the identifier of another request whose event gets into this
-	// stream.
+	// Foreign is the start of the identifier of an event that does not belong to
+	// this stream.
 	Foreign string
 }
 
--- a/fake/engine/faults.go
+++ b/fake/engine/faults.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -14,6 +15,7 @@
 	CrashTerm   serve.Duration
 	CutAfter    int
 	Cross       bool
+	Late        bool
 	Slow        float64
 }
 
@@ -22,20 +24,26 @@
 	if !ok {
 		return
 	}
-	own := SetFaults{Faults: Faults{
+	own := Faults{
 		CrashMarker: body.CrashMarker,
 		CrashTerm:   time.Duration(body.CrashTerm),
 		CutAfter:    body.CutAfter,
 		Cross:       body.Cross,
+		Late:        body.Late,
 		Slow:        body.Slow,
-	}}
-	if e.Direct(r.Context(), own) != nil || e.SetFaults(r.Context(), body.Faults()) != nil {
+	}
+	if e.SetOwnFaults(r.Context(), own) != nil || e.SetFaults(r.Context(), body.Faults()) != nil {
 		serve.Hangup(w)
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// SetOwnFaults puts the engine's own faults into force.
+func (e *Engine) SetOwnFaults(ctx context.Context, faults Faults) error {
+	return e.Direct(ctx, SetFaults{Faults: faults})
+}
+
 func (e *Engine) handleReadFaults(w http.ResponseWriter, _ *http.Request) {
 	snapshot := e.Snapshot()
 	own := snapshot.Inner().Faults()
@@ -45,6 +53,7 @@
 		CrashTerm:   serve.Duration(own.CrashTerm),
 		CutAfter:    own.CutAfter,
 		Cross:       own.Cross,
+		Late:        own.Late,
 		Slow:        own.Slow,
 	})
 }
--- a/fake/engine/http.go
+++ b/fake/engine/http.go
@@ -27,19 +27,25 @@
 // Engine is the stand-in on a listener.
 type Engine struct {
 	*serve.Gated[State, Event, Effect]
-	now func() time.Time
 }
 
 // New returns a stand-in that starts with the given state.
 func New(listener net.Listener, initial State, draw *rand.Rand, now func() time.Time) *Engine {
 	gated := gate.New[State, Event, Effect](initial, Tick{}, func(ticket uint64) Event { return Gone{Ticket: ticket} })
-	return &Engine{Gated: serve.NewGated(listener, gated, merge, draw, now), now: now}
+	e := &Engine{Gated: serve.NewGated(listener, gated, merge, draw, now)}
+	e.OnOther(func(effect Effect) {
+		if crash, ok := effect.(Crash); ok {
+			e.Restart(crash.RestartAt)
+		}
+	})
+	return e
 }
 
 // Run serves until the context ends.
 func (e *Engine) Run(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /cache-events", e.handleCacheEvents)
+	mux.HandleFunc("POST /crash", e.HandleCrash)
 	mux.HandleFunc("GET /faults", e.handleReadFaults)
 	mux.HandleFunc("POST /faults", e.handleFaults)
 	mux.HandleFunc("GET /kv/{prefix}", e.handleExport)
--- a/fake/engine/order.go
+++ b/fake/engine/order.go
@@ -8,11 +8,12 @@
 	"github.com/benbjohnson/immutable"
 )
 
-// The kinds of orders.
+// The actions that an order can ask for.
 const (
-	OrderRole   = "Role"
-	OrderLoad   = "Load"
-	OrderUnload = "Unload"
+	SetRole     = "SetRole"
+	LoadModel   = "LoadModel"
+	UnloadModel = "UnloadModel"
+	LoadAdapter = "LoadAdapter"
 )
 
 // The roles.
@@ -24,14 +25,15 @@
 
 // Intent is what an order asks for.
 type Intent struct {
-	// Kind is Role, Load or Unload.
-	Kind string
-	// Role is set for Role: Both, Prefill or Decode.
+	// Action is SetRole, LoadModel, UnloadModel or LoadAdapter.
+	Action string
+	// Role is set for SetRole: Both, Prefill or Decode.
 	Role string `json:",omitempty"`
-	// Model, Adapter and Revision are set for Load and Unload.
-	Model    string `json:",omitempty"`
-	Adapter  string `json:",omitempty"`
-	Revision string `json:",omitempty"`
+	// Model is set for the other actions, ModelVersion for LoadModel, and
+	// Adapter for LoadAdapter.
+	Model        string `json:",omitempty"`
+	ModelVersion string `json:",omitempty"`
+	Adapter      string `json:",omitempty"`
 }
 
 // OrderRecord is an order that the engine received.
@@ -126,18 +128,18 @@
 		return s, append(out, refusal(e.Ticket, http.StatusConflict, reason, "order is older than the last one"))
 	}
 	s.orders = s.orders.with(record)
-	switch e.Intent.Kind {
-	case OrderRole:
+	switch e.Intent.Action {
+	case SetRole:
 		if s.orders.role != e.Intent.Role {
 			s, out = s.emptied(out)
 			s.orders.role = e.Intent.Role
 			s.orders.away = at.Add(s.settings.RoleChangeTerm)
 		}
-	case OrderLoad:
+	case LoadModel:
 		if !slices.Contains(s.orders.names, e.Intent.Model) {
 			s.orders.names = append(slices.Clone(s.orders.names), e.Intent.Model)
 		}
-	case OrderUnload:
+	case UnloadModel:
 		s.orders.names = slices.DeleteFunc(slices.Clone(s.orders.names), func(name string) bool { return name == e.Intent.Model })
 	}
 	return s, append(out, Answer{Ticket: e.Ticket, Status: http.StatusOK, Body: record})
@@ -145,17 +147,17 @@
 
 // fault returns what is wrong with an intent.
 func (i Intent) fault() string {
-	switch i.Kind {
-	case OrderRole:
+	switch i.Action {
+	case SetRole:
 		if !slices.Contains([]string{RoleBoth, RolePrefill, RoleDecode}, i.Role) {
 			return "field Role has value " + i.Role + "; accepted: Both, Prefill, Decode"
 		}
-	case OrderLoad, OrderUnload:
+	case LoadModel, UnloadModel, LoadAdapter:
 		if i.Model == "" {
 			return "field Model is empty; accepted: the name of a model"
 		}
 	default:
-		return "field Kind has value " + i.Kind + "; accepted: Role, Load, Unload"
+		return "field Action has value " + i.Action + "; accepted: SetRole, LoadModel, UnloadModel, LoadAdapter"
 	}
 	return ""
 }
--- a/fake/engine/state.go
+++ b/fake/engine/state.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -99,8 +100,10 @@
 	CrashTerm time.Duration
 	// CutAfter cuts each stream after so many tokens. Zero cuts none.
 	CutAfter int
-	// Cross puts an event of another request into each stream.
+	// Cross puts an event of another request into each stream, and Late one of
+	// an earlier attempt.
 	Cross bool
+	Late  bool
 	// Slow is a factor on all costs. Zero means one.
 	Slow float64
 }
@@ -276,8 +279,8 @@
 		return refusal(r.ticket, http.StatusNotFound, "UnknownModel", "model is not loaded")
 	case r.pieces() > s.settings.MemoryPieces:
 		return refusal(r.ticket, http.StatusRequestEntityTooLarge, "TooLarge", "request needs more memory than there is")
-	case s.queue.Len() >= s.settings.MaxQueued && s.batch.Len() >= s.settings.Slots,
-		s.queue.Len() > 0 && s.queue.Len() >= s.settings.MaxQueued:
+	case s.queue.Len() > 0 && s.queue.Len() >= s.settings.MaxQueued,
+		s.settings.MaxQueued == 0 && s.batch.Len() >= s.settings.Slots:
 		return refusal(r.ticket, http.StatusServiceUnavailable, "Full", "batch and queue are full")
 	default:
 		return Answer{}
@@ -317,8 +320,8 @@
 		PromptTokens: r.promptTokens,
 		CachedTokens: r.cachedTokens,
 	}
-	if s.faults.Cross && r.sent == r.from {
-		t.Foreign = s.foreign(r.id)
+	if r.sent == r.from {
+		t.Foreign = s.foreign(r)
 	}
 	if cut := s.faults.CutAfter; cut > 0 && r.made-r.from >= cut {
 		t.Upto, t.Cut, t.Done = r.from+cut, true, false
@@ -331,14 +334,23 @@
 	return s, append(out, t)
 }
 
-// foreign returns the identifier of another request.
-func (s State) foreign(id string) string {
-	for itr := s.batch.Iterator(); !itr.Done(); {
-		if _, other, _ := itr.Next(); other != id {
-			return other
+// foreign returns the start of the event identifier, without the offset, that
+// a fault puts into the stream of a request.
+func (s State) foreign(r run) string {
+	switch {
+	case s.faults.Late:
+		attempt, _ := strconv.Atoi(r.attempt)
+		return r.id + "/" + strconv.Itoa(attempt-1)
+	case s.faults.Cross:
+		for itr := s.batch.Iterator(); !itr.Done(); {
+			if _, other, _ := itr.Next(); other != r.id {
+				return other + "/1"
+			}
 		}
+		return "other-" + r.id + "/1"
+	default:
+		return ""
 	}
-	return "other-" + id
 }
 
 func (s State) cancel(e Cancel, out []Effect) (State, []Effect) {
--- a/fake/engine/stream.go
+++ b/fake/engine/stream.go
@@ -130,9 +130,9 @@
 	s.buffer = append(s.buffer, "\"},\"finish_reason\":null}]}\n\n"...)
 }
 
-// foreign appends an event of another request.
-func (s *stream) foreign(id string) {
-	s.buffer = append(s.buffer, "id: "+id+"/1/"+strconv.Itoa(s.at+1)+"\n"...)
+// foreign appends an event that does not belong to the stream.
+func (s *stream) foreign(start string) {
+	s.buffer = append(s.buffer, "id: "+start+"/"+strconv.Itoa(s.at+1)+"\n"...)
 	s.buffer = append(s.buffer, s.middle...)
 	s.buffer = append(s.buffer, "{\"content\":\"crossed \"},\"finish_reason\":null}]}\n\n"...)
 }
--- a/fake/plain/http.go
+++ b/fake/plain/http.go
@@ -29,6 +29,7 @@
 // Run serves until the context ends.
 func (p *Plain) Run(ctx context.Context) error {
 	mux := http.NewServeMux()
+	mux.HandleFunc("POST /crash", p.HandleCrash)
 	mux.HandleFunc("GET /faults", p.HandleFaults)
 	mux.HandleFunc("POST /faults", p.HandleFaults)
 	mux.HandleFunc("GET /stats", p.handleStats)
--- a/fake/serve/gated.go
+++ b/fake/serve/gated.go
@@ -23,6 +23,9 @@
 	listener net.Listener
 	loop     *loop.Loop[gate.State[S, E, F], gate.Event[E], gate.Effect[F]]
 	desk     *Desk[gate.Effect[F]]
+	now      func() time.Time
+	other    func(F)
+	restarts chan time.Time
 	done     chan struct{}
 }
 
@@ -31,7 +34,13 @@
 	listener net.Listener, initial gate.State[S, E, F], merge func(old, next F) F,
 	draw *rand.Rand, now func() time.Time,
 ) *Gated[S, E, F] {
-	g := &Gated[S, E, F]{listener: listener, done: make(chan struct{})}
+	g := &Gated[S, E, F]{
+		listener: listener,
+		now:      now,
+		other:    func(F) {},
+		restarts: make(chan time.Time, 1),
+		done:     make(chan struct{}),
+	}
 	g.desk = NewDesk(func(old, next gate.Effect[F]) gate.Effect[F] {
 		if old.Action != gate.Pass || next.Action != gate.Pass {
 			return next
@@ -108,9 +117,20 @@
 
 // Execute hands an answer to its handler.
 func (g *Gated[S, E, F]) Execute(_ context.Context, effect gate.Effect[F]) {
+	if effect.Ticket == 0 {
+		g.other(effect.Inner)
+		return
+	}
 	g.desk.Deliver(effect.Ticket, effect)
 }
 
+// HandleCrash ends the listener and all connections for the term in the body.
+func (g *Gated[S, E, F]) HandleCrash(w http.ResponseWriter, r *http.Request) {
+	if body, ok := Decode[crashBody](w, r); ok {
+		g.Restart(g.now().Add(time.Duration(body.Term)))
+	}
+}
+
 // HandleFaults sets the faults to the JSON body, or returns those in force.
 func (g *Gated[S, E, F]) HandleFaults(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodGet {
@@ -128,6 +148,8 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+type crashBody struct{ Term Duration }
+
 // FaultsBody is the JSON of gate.Faults.
 type FaultsBody struct {
 	Down                  bool
@@ -181,6 +203,10 @@
 	return err
 }
 
+// OnOther sets what is done with effects that are for no caller. It must be
+// called before Run.
+func (g *Gated[S, E, F]) OnOther(other func(F)) { g.other = other }
+
 // Open passes a call through the gate. The caller must close it.
 func (g *Gated[S, E, F]) Open(r *http.Request, write bool, event func(ticket uint64) E) (Call[F], error) {
 	ticket, answers := g.desk.Open()
@@ -192,18 +218,59 @@
 	return Call[F]{Answers: answers, ticket: ticket}, nil
 }
 
+// Restart ends the listener and all connections at once, and listens again on
+// the same address at the given time. It does nothing while a restart is
+// pending.
+func (g *Gated[S, E, F]) Restart(at time.Time) {
+	select {
+	case g.restarts <- at:
+	default:
+	}
+}
+
 // Run serves until the context ends.
 func (g *Gated[S, E, F]) Run(ctx context.Context, handler http.Handler) error {
 	defer close(g.done)
 	ctx, stop := context.WithCancel(ctx)
-	defer stop()
 	go g.loop.Run(ctx)
-	err := Run(ctx, g.listener, handler)
+	err := g.serve(ctx, handler)
 	stop()
 	<-g.loop.Done()
 	return err
 }
 
+// serve runs the HTTP server, again after each restart.
+func (g *Gated[S, E, F]) serve(ctx context.Context, handler http.Handler) error {
+	listener := g.listener
+	for {
+		running, crash := context.WithCancel(ctx)
+		ended := make(chan error, 1)
+		go func() { ended <- Run(running, listener, handler) }()
+		var at time.Time
+		select {
+		case err := <-ended:
+			crash()
+			return err
+		case at = <-g.restarts:
+			crash()
+			if err := <-ended; err != nil {
+				return err
+			}
+		}
+		wait := time.NewTimer(at.Sub(g.now()))
+		select {
+		case <-ctx.Done():
+			wait.Stop()
+			return nil
+		case <-wait.C:
+		}
+		var err error
+		if listener, err = (&net.ListenConfig{}).Listen(ctx, "tcp", g.Addr()); err != nil {
+			return Failed.Wrap(err, "%s was not listened on again", g.Addr())
+		}
+	}
+}
+
 // SetFaults puts the faults into force. Calls that arrive after it has
 // returned see them.
 func (g *Gated[S, E, F]) SetFaults(ctx context.Context, faults gate.Faults) error {
--- a/fake/store/platform.go
+++ b/fake/store/platform.go
@@ -74,6 +74,7 @@
 		provisions: immutable.NewSortedMap[string, Provision](nil),
 		epochs:     immutable.NewMap[string, uint64](nil),
 		reports:    immutable.NewList[Report](),
+		vms:        []VM{},
 		coming:     immutable.NewList[listing](),
 	}
 }
--- a/fake/store/state.go
+++ b/fake/store/state.go
@@ -198,7 +198,7 @@
 
 // page collects the writes after a version.
 func (s State) page(e Watch) Page {
-	p := Page{Revision: s.revision, Next: e.After}
+	p := Page{Revision: s.revision, Next: e.After, Objects: []Object{}}
 	for itr := s.kinds.Iterator(); !itr.Done(); {
 		kind, held, _ := itr.Next()
 		if len(e.Kinds) > 0 && !slices.Contains(e.Kinds, kind) {
--- a/io/plat/call.go
+++ b/io/plat/call.go
@@ -72,12 +72,13 @@
 
 // do makes a call. An answer with a status of 300 or more comes back as an
 // error of the type Absent, Conflict or Refused if its body says so, and of
-// the type Lost otherwise: a proxy on the way may have passed the call on.
+// the type Lost otherwise: a proxy on the way may have passed the call on. The
+// answer holds the time of sending even with an error.
 func (c *caller) do(ctx context.Context, r request) (answer, error) {
-	sentAt := c.clock.Now()
-	left := r.by.Sub(sentAt)
+	a := answer{sentAt: c.clock.Now()}
+	left := r.by.Sub(a.sentAt)
 	if left <= 0 {
-		return answer{}, Unsent.New("deadline of %s %s passed before it was sent", r.method, r.path)
+		return a, Unsent.New("deadline of %s %s passed before it was sent", r.method, r.path)
 	}
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
@@ -89,7 +90,7 @@
 	}
 	out, err := http.NewRequestWithContext(ctx, r.method, c.base+r.path, body)
 	if err != nil {
-		return answer{}, Unsent.Wrap(err, "%s %s", r.method, r.path)
+		return a, Unsent.Wrap(err, "%s %s", r.method, r.path)
 	}
 	out.Header.Set("X-Client", c.client)
 	for name, value := range r.header {
@@ -98,19 +99,19 @@
 	in, err := c.http.Do(out)
 	if err != nil {
 		if used.sent() {
-			return answer{}, Lost.Wrap(err, "%s %s", r.method, r.path)
+			return a, Lost.Wrap(err, "%s %s", r.method, r.path)
 		}
-		return answer{}, Unsent.Wrap(err, "%s %s", r.method, r.path)
+		return a, Unsent.Wrap(err, "%s %s", r.method, r.path)
 	}
 	defer func() { _ = in.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(in.Body, maxAnswer+1))
 	if err != nil {
-		return answer{}, Lost.Wrap(err, "answer to %s %s was cut", r.method, r.path)
+		return a, Lost.Wrap(err, "answer to %s %s was cut", r.method, r.path)
 	}
 	if len(data) > maxAnswer {
-		return answer{}, Lost.New("answer to %s %s has more than %d bytes", r.method, r.path, maxAnswer)
+		return a, Lost.New("answer to %s %s has more than %d bytes", r.method, r.path, maxAnswer)
 	}
-	a := answer{status: in.StatusCode, body: data, sentAt: sentAt}
+	a.status, a.body = in.StatusCode, data
 	if a.status >= http.StatusMultipleChoices {
 		return a, refused(r, a)
 	}
--- a/io/plat/client.go
+++ b/io/plat/client.go
@@ -58,6 +58,8 @@
 	// again.
 	RetryFirst time.Duration
 	RetryMost  time.Duration
+	// VMTerm is the time between two readings of the VM list.
+	VMTerm time.Duration
 }
 
 // DefaultSettings returns the terms that fit a freshness term of 6 s.
@@ -71,18 +73,20 @@
 		WatchGap:   100 * time.Millisecond,
 		RetryFirst: 100 * time.Millisecond,
 		RetryMost:  2 * time.Second,
+		VMTerm:     5 * time.Second,
 	}
 }
 
 // Client is the platform as one entry node sees it.
 type Client struct {
-	settings Settings
-	caller   *caller
-	poster   Poster
-	clock    Clock
-	draw     *rand.Rand
-	queue    chan job
-	done     chan struct{}
+	settings  Settings
+	caller    *caller
+	poster    Poster
+	clock     Clock
+	watchDraw *rand.Rand
+	vmDraw    *rand.Rand
+	queue     chan job
+	done      chan struct{}
 }
 
 type job struct {
@@ -97,9 +101,11 @@
 		caller:   newCaller(settings.Base, settings.Name, settings.Workers+2, clock),
 		poster:   poster,
 		clock:    clock,
-		draw:     draw,
-		queue:    make(chan job, queueSize),
-		done:     make(chan struct{}),
+		// The goroutines that draw need a source each.
+		watchDraw: rand.New(rand.NewPCG(draw.Uint64(), draw.Uint64())),
+		vmDraw:    rand.New(rand.NewPCG(draw.Uint64(), draw.Uint64())),
+		queue:     make(chan job, queueSize),
+		done:      make(chan struct{}),
 	}
 }
 
@@ -130,6 +136,7 @@
 		running.Go(func() { c.work(ctx) })
 	}
 	running.Go(func() { c.watch(ctx) })
+	running.Go(func() { c.listVMs(ctx) })
 	running.Wait()
 	c.caller.http.CloseIdleConnections()
 }
--- a/io/plat/watch.go
+++ b/io/plat/watch.go
@@ -86,7 +86,7 @@
 		if err != nil {
 			failures++
 			c.post(ctx, event.StoreFailed{})
-			_ = c.clock.Wait(ctx, retryAfter(c.draw, c.settings.RetryFirst, c.settings.RetryMost, failures))
+			_ = c.clock.Wait(ctx, retryAfter(c.watchDraw, c.settings.RetryFirst, c.settings.RetryMost, failures))
 			continue
 		}
 		failures = 0
@@ -114,5 +114,10 @@
 	if err := json.Unmarshal(a.body, &page); err != nil {
 		return wirePage{}, Lost.Wrap(err, "answer to %s", path)
 	}
+	// An answer that is none of a watch must not count as contact. A revision
+	// below one that was seen means that the store has lost writes.
+	if page.Objects == nil || page.Next < after || page.Revision < after {
+		return wirePage{}, Lost.New("answer to %s has revision %d, next %d", path, page.Revision, page.Next)
+	}
 	return page, nil
 }
--- /dev/null
+++ b/io/plat/watch_test.go
@@ -0,0 +1,253 @@
+package plat
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"caroblane/core/effect"
+	"caroblane/core/event"
+	"caroblane/core/model"
+	"caroblane/fake/gate"
+	"caroblane/fake/store"
+)
+
+// stillClock never lets time pass by itself and records the waits.
+type stillClock struct {
+	at    time.Time
+	waits chan time.Duration
+}
+
+func (c stillClock) Now() time.Time { return c.at }
+
+func (c stillClock) Wait(ctx context.Context, d time.Duration) error {
+	select {
+	case c.waits <- d:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// TestCursor guards against a part of a coalesced answer that counts as the
+// whole configuration: an older withdrawal could still be missing.
+func TestCursor(t *testing.T) {
+	sentAt := time.Unix(100, 0)
+	object := func(name string, version model.Version) wireObject {
+		return wireObject{Kind: "Model", Name: name, Version: version, Generation: 1, Value: json.RawMessage(`{"MaxTokens":1}`)}
+	}
+	at, _, complete := cursor{after: 3}.next(wirePage{
+		Revision: 9, Next: 7, More: true, Coalesced: true, Objects: []wireObject{object("a", 7)},
+	}, sentAt)
+	if complete || at.after != 7 {
+		t.Fatalf("partial page: complete %v, after %d", complete, at.after)
+	}
+	at, changed, complete := at.next(wirePage{
+		Revision: 9, Next: 9, Objects: []wireObject{object("b", 9), {Kind: "Claim", Name: "1", Version: 8}},
+	}, sentAt.Add(time.Second))
+	if !complete || len(changed.Changes) != 2 || changed.Upto != 9 || !changed.FromStore ||
+		!changed.SentAt.Equal(sentAt.Add(time.Second)) {
+		t.Errorf("last page: %v %+v", complete, changed)
+	}
+	if _, again, _ := at.next(wirePage{Revision: 9, Next: 9}, sentAt); len(again.Changes) != 0 || again.Upto != 9 {
+		t.Errorf("answer without changes: %+v", again)
+	}
+}
+
+// TestWatch guards against a write that is skipped, reordered or delivered with
+// a wrong generation, and against claims that move the configuration's version.
+func TestWatch(t *testing.T) {
+	s := startStore(t, store.NewState(store.DefaultLimits()))
+	before := time.Now()
+	client, b := startClient(t, DefaultSettings("http://"+s.Addr(), "node-1"))
+	if first := await[event.ConfigChanged](t, b); first.Upto != 0 || !first.FromStore || first.SentAt.Before(before) {
+		t.Errorf("answer without changes: %+v", first)
+	}
+	write := func(e effect.WriteObject) {
+		client.Execute(t.Context(), e)
+	}
+	write(put(0))
+	var seen []model.Change
+	next := func() event.ConfigChanged {
+		changed := await[event.ConfigChanged](t, b)
+		seen = append(seen, changed.Changes...)
+		return changed
+	}
+	for len(seen) < 1 {
+		next()
+	}
+	write(effect.WriteObject{Kind: model.KindClaim, Name: "1", Value: model.Claim{}})
+	for s.Snapshot().Inner().Revision() < 2 {
+		next()
+	}
+	if quiet := next(); quiet.Upto != 1 {
+		t.Errorf("version is %d after a claim, want 1", quiet.Upto)
+	}
+	write(effect.WriteObject{Kind: model.KindModel, Name: "m/1", IfVersion: 1, Delete: true})
+	for len(seen) < 2 {
+		next()
+	}
+	for i, want := range []model.Change{
+		{Kind: model.KindModel, Name: "m/1", Version: 1, Generation: 1, Value: model.Model{MaxTokens: 1}},
+		{Kind: model.KindModel, Name: "m/1", Version: 3, Generation: 2, Deleted: true},
+	} {
+		if seen[i] != want {
+			t.Errorf("change %d: got %+v, want %+v", i, seen[i], want)
+		}
+	}
+}
+
+// TestWatchAfterTruncation guards against a node that joins late and misses
+// objects because the store's log no longer reaches back, and against an
+// object that cannot be decoded and stops the others.
+func TestWatchAfterTruncation(t *testing.T) {
+	limits := store.DefaultLimits()
+	limits.LogWrites = 2
+	state := store.NewState(limits).Seed(
+		store.Object{Kind: "Model", Name: "a", Value: json.RawMessage(`{"MaxTokens":1}`)},
+		store.Object{Kind: "Model", Name: "b", Value: json.RawMessage(`{"Wrong":1}`)},
+		store.Object{Kind: "Model", Name: "c", Value: json.RawMessage(`{"MaxTokens":3}`)},
+		store.Object{Kind: "Model", Name: "d", Value: json.RawMessage(`{"MaxTokens":4}`)},
+	)
+	s := startStore(t, state)
+	_, b := startClient(t, DefaultSettings("http://"+s.Addr(), "node-1"))
+	changed := await[event.ConfigChanged](t, b)
+	if len(changed.Changes) != 4 || changed.Upto != 4 {
+		t.Fatalf("got %+v", changed)
+	}
+	if changed.Changes[1].Fault == "" || changed.Changes[1].Value != nil || changed.Changes[3].Fault != "" {
+		t.Errorf("got %+v", changed.Changes)
+	}
+}
+
+// TestWatchFailures guards against a store outage that is not reported, or that
+// makes nodes call in a tight loop.
+func TestWatchFailures(t *testing.T) {
+	s := startStore(t, store.NewState(store.DefaultLimits()))
+	if err := s.SetFaults(t.Context(), gate.Faults{Down: true}); err != nil {
+		t.Fatal(err)
+	}
+	clock := stillClock{at: time.Unix(1000, 0), waits: make(chan time.Duration)}
+	settings := DefaultSettings("http://"+s.Addr(), "node-1")
+	settings.WatchWait = 0
+	b := make(inbox, 64)
+	c := New(settings, b, rand.New(rand.NewPCG(4, 4)), clock)
+	done := make(chan struct{})
+	start(t, func(ctx context.Context) { defer close(done); c.watch(ctx) }, done)
+	bound := settings.RetryFirst
+	for i := range 10 {
+		await[event.StoreFailed](t, b)
+		wait := <-clock.waits
+		if wait < settings.RetryFirst/2 || wait > settings.RetryFirst/2+bound {
+			t.Errorf("wait %d is %s, bound %s", i, wait, bound)
+		}
+		bound = min(2*bound, settings.RetryMost)
+	}
+	if err := s.SetFaults(t.Context(), gate.Faults{}); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for range clock.waits {
+		}
+	}()
+	if changed := await[event.ConfigChanged](t, b); !changed.SentAt.Equal(clock.at) {
+		t.Errorf("sent at %s, want %s", changed.SentAt, clock.at)
+	}
+}
+
+// TestLostRevision guards against a store that has lost writes, or another
+// server, being taken for contact with the configuration.
+func TestLostRevision(t *testing.T) {
+	s := startStore(t, store.NewState(store.DefaultLimits()))
+	c, _ := startClient(t, DefaultSettings("http://"+s.Addr(), "n"))
+	if page, err := c.page(t.Context(), 5, time.Now()); !errorx.IsOfType(err, Lost) {
+		t.Errorf("got %+v, %v", page, err)
+	}
+}
+
+// TestVMs guards against a VM list with an unreadable entry that is taken in
+// part: the VM left out would count as stopped.
+func TestVMs(t *testing.T) {
+	at := time.Unix(5, 0)
+	for name, c := range map[string]struct {
+		data string
+		want []string
+	}{
+		"two":           {`{"Vms":[{"Address":"10.0.0.1"},{"Address":"::1","Leaving":true}]}`, []string{"10.0.0.1", "::1"}},
+		"none":          {`{"Vms":[]}`, nil},
+		"no list":       {`{}`, nil},
+		"null":          {`null`, nil},
+		"unreadable":    {`{"Vms":[{"Address":"10.0.0.1"},{"Address":"vm-2"}]}`, nil},
+		"not an object": {`[]`, nil},
+	} {
+		got, err := listed([]byte(c.data), at)
+		if failed := name != "two" && name != "none"; failed != (err != nil) {
+			t.Errorf("%s: error %v", name, err)
+			continue
+		}
+		if len(got.Addresses) != len(c.want) {
+			t.Errorf("%s: got %v, want %v", name, got.Addresses, c.want)
+		}
+	}
+	limits := store.DefaultLimits()
+	limits.VMLag = 0
+	s := startStore(t, store.NewState(limits))
+	if err := s.Direct(t.Context(), store.SetVMs{VMs: []store.VM{{Name: "n1", Address: "127.0.0.1"}}}); err != nil {
+		t.Fatal(err)
+	}
+	_, b := startClient(t, DefaultSettings("http://"+s.Addr(), "n"))
+	if got := await[event.VMsListed](t, b); len(got.Addresses) != 1 || got.SentAt.IsZero() {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// TestOrders guards against an order of a process without authority that takes
+// effect, and against errors that hide whether an order may have taken effect.
+func TestOrders(t *testing.T) {
+	limits := store.DefaultLimits()
+	limits.WeightsPerSecond = 1e-9
+	s := startStore(t, store.NewState(limits))
+	c, _ := startClient(t, DefaultSettings("http://"+s.Addr(), "n"))
+	by := time.Now().Add(patience)
+	provision := func(id string, epoch model.Epoch, change int) error {
+		return c.Provision(t.Context(), id, "control.r", epoch, model.ProvisionIntent{Zone: "z", Change: change}, by)
+	}
+	usage := model.Usage{Window: 3, Epoch: 1, Lines: []model.UsageLine{{Account: "a", Requests: 2}}}
+	for _, step := range []struct {
+		name string
+		call func() error
+		want *errorx.Type
+	}{
+		{"first order", func() error { return provision("p1", 2, 1) }, nil},
+		{"repeat by the successor", func() error { return provision("p1", 3, 1) }, nil},
+		{"old epoch", func() error { return provision("p2", 2, 1) }, Conflict},
+		{"repeat with an old epoch", func() error { return provision("p1", 2, 1) }, Conflict},
+		{"other order with the same identifier", func() error { return provision("p1", 3, 2) }, Conflict},
+		{"usage", func() error { return c.ReportUsage(t.Context(), "control.r", usage, by) }, nil},
+		{"weights", func() error { _, err := c.Weights(t.Context(), "m", by); return err }, nil},
+		{"weights over the rate", func() error { _, err := c.Weights(t.Context(), "m", by); return err }, Refused},
+		{"deadline passed", func() error { return c.ReportUsage(t.Context(), "control.r", usage, time.Now()) }, Unsent},
+		{"answer lost", func() error {
+			if err := s.SetFaults(t.Context(), gate.Faults{LoseAnswers: 1}); err != nil {
+				t.Fatal(err)
+			}
+			return provision("p3", 4, 1)
+		}, Lost},
+	} {
+		err := step.call()
+		if step.want == nil && err != nil || step.want != nil && !errorx.IsOfType(err, step.want) {
+			t.Errorf("%s: got %v, want %v", step.name, err, step.want)
+		}
+	}
+	state := s.Snapshot().Inner()
+	if n := len(state.Provisions()); n != 2 {
+		t.Errorf("%d provisions, want 2", n)
+	}
+	if reports := state.Reports(); len(reports) != 1 || reports[0].Window != "3" {
+		t.Errorf("reports %+v", reports)
+	}
+}
--- a/io/plat/wire.go
+++ b/io/plat/wire.go
@@ -51,24 +51,12 @@
 	if kind <= model.KindRoster {
 		return codec.DecodeConfig(kind, data)
 	}
-	return decodeRecord(kind, data)
+	return codec.DecodeRecord(kind, data)
 }
 
 func encode(kind model.Kind, value any) ([]byte, error) {
 	if kind <= model.KindRoster {
 		return codec.EncodeConfig(kind, value)
 	}
-	return encodeRecord(kind, value)
-}
-
-// decodeRecord and encodeRecord pass raw JSON on until io/codec has the
-// records.
-func decodeRecord(_ model.Kind, data []byte) (any, error) { return json.RawMessage(data), nil }
-
-func encodeRecord(kind model.Kind, value any) ([]byte, error) {
-	raw, ok := value.(json.RawMessage)
-	if !ok {
-		return nil, codec.Malformed.New("%s has type %T; accepted: JSON", kind, value)
-	}
-	return raw, nil
+	return codec.EncodeRecord(kind, value)
 }
