Add contract tests for the stand-ins

A full engine now counts the queue and the batch together: before, a request could be refused while a slot was free, because slots are filled at the end of an iteration.

The test of the plain service met a behaviour of net/http that callers of upstreams must avoid: a request with an Idempotency-Key header is sent again by the transport when its answer is lost on a connection that was used before.

--- a/fake/engine/state.go
+++ b/fake/engine/state.go
@@ -37,7 +37,7 @@
 type Settings struct {
 	// Slots is the number of requests in one batch.
 	Slots int
-	// MaxQueued is the number of requests that wait for the batch.
+	// MaxQueued is the number of requests that wait beside a full batch.
 	MaxQueued int
 	// MemoryPieces bounds running requests and the prefix cache together.
 	MemoryPieces int
@@ -279,8 +279,7 @@
 		return refusal(r.ticket, http.StatusNotFound, "UnknownModel", "model is not loaded")
 	case r.pieces() > s.settings.MemoryPieces:
 		return refusal(r.ticket, http.StatusRequestEntityTooLarge, "TooLarge", "request needs more memory than there is")
-	case s.queue.Len() > 0 && s.queue.Len() >= s.settings.MaxQueued,
-		s.settings.MaxQueued == 0 && s.batch.Len() >= s.settings.Slots:
+	case s.queue.Len()+s.batch.Len() >= s.settings.Slots+s.settings.MaxQueued:
 		return refusal(r.ticket, http.StatusServiceUnavailable, "Full", "batch and queue are full")
 	default:
 		return Answer{}
--- /dev/null
+++ b/fake/plain/plain_test.go
@@ -0,0 +1,86 @@
+package plain
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"caroblane/fake/gate"
+)
+
+// TestExecutions guards against a second execution that the service does not
+// show, which is what tests of requests that may not be repeated look for.
+func TestExecutions(t *testing.T) {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := New(listener, NewState(), rand.New(rand.NewPCG(1, 1)), time.Now)
+	ctx, stop := context.WithCancel(context.Background())
+	go func() { _ = p.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		<-p.Done()
+	})
+	// On a connection that was used before, net/http sends a request with an
+	// Idempotency-Key again when its answer is lost.
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	call := func(method, path, body, key, id string) (*http.Response, error) {
+		r, err := http.NewRequestWithContext(t.Context(), method, "http://"+p.Addr()+path, strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header.Set("Idempotency-Key", key)
+		r.Header.Set("X-Request-Id", id)
+		return client.Do(r)
+	}
+	for _, c := range []struct {
+		name     string
+		faults   gate.Faults
+		status   string
+		key, id  string
+		want     int
+		executed uint64
+	}{
+		{"first", gate.Faults{}, "0", "k1", "r1", 200, 1},
+		{"second with the same key", gate.Faults{}, "0", "k1", "r2", 200, 2},
+		{"without a key", gate.Faults{}, "0", "", "r3", 200, 3},
+		{"status", gate.Faults{}, "503", "k2", "r4", 503, 4},
+		{"answer lost", gate.Faults{LoseAnswers: 1}, "0", "k3", "r5", 0, 5},
+		{"down", gate.Faults{Down: true}, "0", "k4", "r6", 0, 5},
+	} {
+		if err := p.SetFaults(t.Context(), c.faults); err != nil {
+			t.Fatal(err)
+		}
+		set, err := call(http.MethodPost, "/status", `{"Status":`+c.status+`}`, "", "")
+		if err != nil || set.StatusCode != http.StatusNoContent {
+			t.Fatal(set, err)
+		}
+		_ = set.Body.Close()
+		status := 0
+		if response, err := call(http.MethodPost, "/send/it", "body", c.key, c.id); err == nil {
+			status = response.StatusCode
+			_ = response.Body.Close()
+		}
+		if status != c.want || p.Snapshot().Inner().Total() != c.executed {
+			t.Errorf("%s: status %d, %d executions", c.name, status, p.Snapshot().Inner().Total())
+		}
+	}
+	response, err := call(http.MethodGet, "/stats", "", "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var stats statsBody
+	if err := json.NewDecoder(response.Body).Decode(&stats); err != nil {
+		t.Fatal(err)
+	}
+	if len(stats.Runs) != 4 || stats.Runs[0].Executions != 2 || stats.Runs[1].RequestID != "r3" || stats.Runs[3].Executions != 1 {
+		t.Errorf("got %+v", stats)
+	}
+}
--- a/fake/store/event.go
+++ b/fake/store/event.go
@@ -108,8 +108,9 @@
 	Next uint64
 	// More tells that writes are left over because of the limit.
 	More bool
-	// Coalesced tells that writes which the log no longer holds are left out
-	// where a later write of the same object exists.
+	// Coalesced tells that the log does not reach back, so that writes up to
+	// Revision may be left out, in this page and in those that follow, where a
+	// later write of the same object exists.
 	Coalesced bool
 	Objects   []Object
 }
