--- a/core/conf/conf.go
+++ b/core/conf/conf.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/benbjohnson/immutable"
+	"github.com/cespare/xxhash/v2"
 
 	"caroblane/core/effect"
 	"caroblane/core/event"
@@ -36,15 +37,31 @@
 	fault      string
 }
 
+// Placeable is an upstream with the hash that placement needs.
+type Placeable struct {
+	model.Upstream
+	NameHash uint64
+}
+
 // State is the configuration in force. The zero value is not usable.
 type State struct {
-	version   model.Version
-	objects   *immutable.Map[objectID, entry]
+	version model.Version
+	// clean is the version up to which every deletion is known.
+	clean model.Version
+	// floor is the version up to which tombstones may be missing.
+	floor   model.Version
+	objects *immutable.Map[objectID, entry]
+	// order holds the last write of every object, graves those that are
+	// deletions.
+	order     *immutable.SortedMap[write, struct{}]
+	graves    *immutable.SortedMap[write, struct{}]
 	keys      *immutable.Map[model.KeyHash, model.Key]
 	templates *immutable.Map[model.AccountName, model.Template]
 	upstreams *immutable.Map[model.UpstreamName, model.Upstream]
-	// byModel lists the upstreams of a model in order of their names.
-	byModel *immutable.Map[model.ModelName, []model.UpstreamName]
+	// byModel lists the upstreams of a model in order of their names. The lists
+	// hold the upstreams themselves: placement reads hundreds of them for one
+	// request.
+	byModel *immutable.Map[model.ModelName, []Placeable]
 	models  *immutable.Map[model.ModelName, model.Model]
 	// routes is sorted by falling length of the prefix.
 	routes []model.Route
@@ -55,28 +72,35 @@
 func New() State {
 	return State{
 		objects:   immutable.NewMap[objectID, entry](idHasher{}),
+		order:     immutable.NewSortedMap[write, struct{}](writeComparer{}),
+		graves:    immutable.NewSortedMap[write, struct{}](writeComparer{}),
 		keys:      immutable.NewMap[model.KeyHash, model.Key](hashHasher{}),
 		templates: immutable.NewMap[model.AccountName, model.Template](nil),
 		upstreams: immutable.NewMap[model.UpstreamName, model.Upstream](nil),
-		byModel:   immutable.NewMap[model.ModelName, []model.UpstreamName](nil),
+		byModel:   immutable.NewMap[model.ModelName, []Placeable](nil),
 		models:    immutable.NewMap[model.ModelName, model.Model](nil),
 	}
 }
 
-// Apply takes ConfigChanged and raises an event for each part of the
-// configuration that changed.
+// Apply takes configuration from the store and from peers, raises an event for
+// each part of it that changed, and serves peers that ask for it.
 func (s State) Apply(in step.Input[event.Event]) (State, Out) {
 	var out Out
-	changed, ok := in.Event.(event.ConfigChanged)
-	if !ok {
-		return s, out
-	}
-	for _, change := range changed.Changes {
-		s = s.withChange(change, &out)
-	}
-	if changed.Upto > s.version {
-		s.version = changed.Upto
-		out.Raise(event.VersionChanged{Version: s.version})
+	switch e := in.Event.(type) {
+	case event.ConfigChanged:
+		s = s.withChanges(e.Changes, &out)
+		s = s.withUpto(e.Upto, e.Upto, 0, &out)
+	case event.FetchAnswered:
+		// The store may have answered since the fetch was sent; a page from an
+		// older version may then lack tombstones.
+		if !e.Refused && e.After == s.version {
+			s = s.withChanges(e.Changes, &out)
+			s = s.withUpto(e.Upto, e.Clean, e.Floor, &out)
+		}
+	case event.FetchAsked:
+		s.answer(e, &out)
+	case event.FetchWanted:
+		s.fetch(e.Peer, &out)
 	}
 	return s, out
 }
@@ -144,21 +168,31 @@
 	return s.upstreams.Get(name)
 }
 
-// UpstreamsOf returns the names of the upstreams that serve a model.
-func (s State) UpstreamsOf(name model.ModelName) []model.UpstreamName {
-	names, _ := s.byModel.Get(name)
-	return names
+// UpstreamsOf returns the upstreams that serve a model. The caller must not
+// change the list.
+func (s State) UpstreamsOf(name model.ModelName) []Placeable {
+	list, _ := s.byModel.Get(name)
+	return list
 }
 
 // Version returns the version in force.
 func (s State) Version() model.Version { return s.version }
 
-// withChange applies one write unless a newer one of the object is held. An
-// invalid write leaves the valid value in force.
+func (s State) withChanges(changes []model.Change, out *Out) State {
+	for _, change := range changes {
+		s = s.withChange(change, out)
+	}
+	return s
+}
+
+// withChange applies one write unless a newer one of the object is held. The
+// copy is complete up to the version in force, so an unknown object with a lower
+// version has been deleted and its tombstone dropped. An invalid write leaves
+// the valid value in force.
 func (s State) withChange(change model.Change, out *Out) State {
 	id := objectID{change.Kind, change.Name}
-	held, _ := s.objects.Get(id)
-	if change.Version <= held.seen {
+	held, known := s.objects.Get(id)
+	if change.Version <= held.seen || !known && change.Version <= s.version {
 		return s
 	}
 	next := entry{
@@ -178,10 +212,9 @@
 	}
 	if next.fault != "" {
 		next.value = held.value
-		s.objects = s.objects.Set(id, next)
-		return s
+		return s.withEntry(id, held, next)
 	}
-	s.objects = s.objects.Set(id, next)
+	s = s.withEntry(id, held, next)
 	return s.withValue(id, held.value, next, out)
 }
 
@@ -257,9 +290,9 @@
 func (s State) withUpstream(name model.UpstreamName, old, value any) State {
 	if upstream, ok := old.(model.Upstream); ok {
 		for _, m := range upstream.Models {
-			names, _ := s.byModel.Get(m)
-			names = slices.DeleteFunc(slices.Clone(names), func(n model.UpstreamName) bool { return n == name })
-			s.byModel = s.byModel.Set(m, names)
+			list, _ := s.byModel.Get(m)
+			list = slices.DeleteFunc(slices.Clone(list), func(p Placeable) bool { return p.Name == name })
+			s.byModel = s.byModel.Set(m, list)
 		}
 	}
 	upstream, ok := value.(model.Upstream)
@@ -269,11 +302,12 @@
 	}
 	upstream.Name = name
 	s.upstreams = s.upstreams.Set(name, upstream)
+	placeable := Placeable{Upstream: upstream, NameHash: xxhash.Sum64String(string(name))}
 	for _, m := range upstream.Models {
-		names, _ := s.byModel.Get(m)
-		names = append(slices.Clone(names), name)
-		slices.Sort(names)
-		s.byModel = s.byModel.Set(m, names)
+		list, _ := s.byModel.Get(m)
+		list = append(slices.Clone(list), placeable)
+		slices.SortFunc(list, func(a, b Placeable) int { return cmp.Compare(a.Name, b.Name) })
+		s.byModel = s.byModel.Set(m, list)
 	}
 	return s
 }
--- a/core/model/config.go
+++ b/core/model/config.go
@@ -1,5 +1,7 @@
 package model
 
+import "slices"
+
 // Change is one write of a configuration object.
 type Change struct {
 	Kind    Kind
@@ -40,6 +42,9 @@
 type Roster struct {
 	Region  RegionName
 	Members []Member
+	// Former lists evicted members whose processes may still run with an older
+	// roster. They have no share and count only for the settled version.
+	Former []Member
 }
 
 // Route maps a path prefix to a plain service.
@@ -82,3 +87,8 @@
 	// Slots is the number of requests that the upstream runs at once.
 	Slots int
 }
+
+// Allows tells whether the account may use a model.
+func (t Template) Allows(name ModelName) bool {
+	return len(t.Models) == 0 || slices.Contains(t.Models, name)
+}
--- a/io/plat/wire.go
+++ b/io/plat/wire.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"strings"
 
 	"caroblane/core/model"
 	"caroblane/io/codec"
@@ -23,13 +22,11 @@
 type wirePage struct {
 	Revision  model.Version
 	Next      model.Version
+	More      bool
 	Coalesced bool
 	Objects   []wireObject
 }
 
-// kindName returns the name of a kind in paths.
-func kindName(kind model.Kind) string { return strings.TrimPrefix(kind.String(), "Kind") }
-
 // change decodes an object. A value that cannot be decoded is reported in the
 // field Fault.
 func (o wireObject) change(kind model.Kind) model.Change {
@@ -50,24 +47,12 @@
 	if kind <= model.KindRoster {
 		return codec.DecodeConfig(kind, data)
 	}
-	return decodeRecord(kind, data)
+	return codec.DecodeRecord(kind, data)
 }
 
 func encode(kind model.Kind, value any) ([]byte, error) {
 	if kind <= model.KindRoster {
 		return codec.EncodeConfig(kind, value)
 	}
-	return encodeRecord(kind, value)
-}
-
-// decodeRecord and encodeRecord pass raw JSON on until io/codec has the
-// records.
-func decodeRecord(_ model.Kind, data []byte) (any, error) { return json.RawMessage(data), nil }
-
-func encodeRecord(kind model.Kind, value any) ([]byte, error) {
-	raw, ok := value.(json.RawMessage)
-	if !ok {
-		return nil, codec.Malformed.New("%s has type %T; accepted: JSON", kind, value)
-	}
-	return raw, nil
+	return codec.EncodeRecord(kind, value)
 }
