--- a/io/meter/meter_test.go
+++ b/io/meter/meter_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -57,3 +58,29 @@
 	m.Handler().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	return answer.Body.String()
 }
+
+// TestOperationsPage guards against metrics and reasons that the operations
+// page does not explain.
+func TestOperationsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var names []string
+	for _, line := range strings.Split(scrape(meter.New(func() meter.Reading { return meter.Reading{} })), "\n") {
+		if name, ok := strings.CutPrefix(line, "# TYPE "); ok {
+			names = append(names, strings.Fields(name)[0])
+		}
+	}
+	for _, reason := range model.Reasons() {
+		names = append(names, "`"+reason.String()+"`")
+	}
+	for _, reason := range model.RetryReasons() {
+		names = append(names, "`"+reason.String()+"`")
+	}
+	for _, name := range names {
+		if !strings.Contains(string(page), name) {
+			t.Errorf("docs/operations.md lacks %s", name)
+		}
+	}
+}
