--- a/io/cmds/dev.go
+++ b/io/cmds/dev.go
@@ -17,27 +17,24 @@
 const devStartTerm = 20 * time.Second
 
 // devCommand runs an installation on loopback.
-func devCommand(stdout, stderr io.Writer) *cli.Command {
-	return &cli.Command{
-		Name:  "dev",
-		Usage: "run platform, upstreams and three entry nodes on loopback in one process",
-		Description: "Example:\n" +
-			"   caroblane dev --once\n" +
-			"   caroblane dev",
-		Flags: []cli.Flag{
+func (r *runner) devCommand() *cli.Command {
+	return r.leaf(spec{
+		name: "dev", usage: "run platform, upstreams and three entry nodes on loopback in one process", offline: true,
+		example: "caroblane dev --once",
+		flags: []cli.Flag{
 			&cli.BoolFlag{Name: "once", Usage: "send two requests, print the answers and exit"},
 			&cli.StringFlag{Name: "log", Usage: "log `LEVEL`: debug, info, warn or error", Value: "warn"},
 		},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			return runDev(ctx, c.Bool("once"), c.String("log"), stdout, stderr)
+		action: func(ctx context.Context, c *cli.Command, _ []string) error {
+			return runDev(ctx, c.Bool("once"), c.String("log"), r.env.Out, r.env.Err)
 		},
-	}
+	})
 }
 
 func runDev(ctx context.Context, once bool, level string, stdout, stderr io.Writer) error {
 	log, err := logs.New(stderr, level, time.Now)
 	if err != nil {
-		return err
+		return Usage.Wrap(err, "flag --log")
 	}
 	installation, err := stack.New(ctx, stack.DefaultOptions(), log)
 	if err != nil {
@@ -105,14 +102,26 @@
 		fmt.Fprintf(&text, "node-%d: callers http://%s, admin http://%s\n", i+1, address, installation.Admins()[i])
 	}
 	fmt.Fprintf(&text, `
+export CAROBLANE_PLATFORM=%s CAROBLANE_ADMIN=%s
+caroblane config version
+
 curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' \
   -d '{"model":"%s","stream":true,"max_tokens":32,"messages":[{"role":"user","content":"Hello"}]}'
 
 Stop with Ctrl-C.
-`, installation.Callers()[0], stack.Key, stack.Model)
+`, installation.Platform(), adminFlag(installation), installation.Callers()[0], stack.Key, stack.Model)
 	if _, err := io.WriteString(stdout, text.String()); err != nil {
 		return err
 	}
 	<-ctx.Done()
 	return nil
 }
+
+// adminFlag names the admin listeners in the form of flag --admin.
+func adminFlag(installation *stack.Stack) string {
+	var names []string
+	for i, address := range installation.Admins() {
+		names = append(names, fmt.Sprintf("node-%d=%s", i+1, address))
+	}
+	return strings.Join(names, ",")
+}
--- a/io/cmds/execute.go
+++ b/io/cmds/execute.go
@@ -114,7 +114,7 @@
 			Name    string
 			Version model.Version
 			Action  string
-		}{kindName(done.kind), done.name, done.version, done.action()})
+		}{done.kind.Name(), done.name, done.version, done.action()})
 		return
 	}
 	_, _ = fmt.Fprintf(r.env.Out, "%s %s, version %d\n", printable(done.String()), done.action(), done.version)
--- a/io/cmds/run.go
+++ b/io/cmds/run.go
@@ -40,13 +40,10 @@
 	}
 }
 
-// Run runs the command line and returns the exit code. Extra commands are those
-// that other packages add.
-func Run(ctx context.Context, args []string, env Env, extra ...*cli.Command) int {
+// Run runs the command line and returns the exit code.
+func Run(ctx context.Context, args []string, env Env) int {
 	r := &runner{env: env, client: &http.Client{Timeout: callWithin}}
-	root := r.root()
-	root.Commands = append(root.Commands, extra...)
-	err := root.Run(ctx, args)
+	err := r.root().Run(ctx, args)
 	if err == nil {
 		return CodeOK
 	}
@@ -104,7 +101,7 @@
 		Commands: []*cli.Command{
 			r.templateCommand(), r.keyCommand(), r.upstreamCommand(), r.nodeCommand(),
 			r.routeCommand(), r.modelCommand(), r.configCommand(), r.usageCommand(),
-			devCommand(r.env.Out, r.env.Err),
+			r.devCommand(),
 		},
 		Writer:                r.env.Out,
 		ErrWriter:             r.env.Err,
