--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -59,6 +59,8 @@
 	attempt  int
 	upstream model.UpstreamName
 	tried    []model.UpstreamName
+	// mayHaveRun tells that an earlier attempt ended without an answer.
+	mayHaveRun bool
 	// resumed is the number of tokens that the caller had at the last resume.
 	resumed int
 }
@@ -276,6 +278,8 @@
 
 // ended decides what follows the end of an attempt.
 func (s State) ended(e event.AttemptEnded, c call, facts Facts, out *Out) State {
+	c.mayHaveRun = c.mayHaveRun || e.Outcome == model.Broken || e.Outcome == model.CallerLeft
+	s.open = s.open.Set(e.Ticket, c)
 	if e.Outcome == model.Completed {
 		return s.completed(e, c, out)
 	}
@@ -301,7 +305,7 @@
 // that generated it holds the tokens, so no other one is tried.
 func (s State) resume(e event.AttemptEnded, c call, facts Facts, out *Out) State {
 	upstream, ok := facts.Conf.Upstream(c.upstream)
-	mayResume := ok && c.request.Stream && !e.Crashed && e.Outcome != model.Rejected && c.attempt < maxAttempts
+	mayResume := ok && !c.mustClaim && c.request.Stream && !e.Crashed && e.Outcome != model.Rejected && c.attempt < maxAttempts
 	if !mayResume {
 		return s.failed(e.Ticket, c, refusal(model.StreamTruncated, model.OutcomeUnknown, 0), out)
 	}
@@ -320,8 +324,12 @@
 	return s
 }
 
-// failed ends a request that may hold a claim.
+// failed ends a request that may hold a claim. After an attempt without an
+// answer the outcome stays unknown, whatever became of later ones.
 func (s State) failed(ticket model.Ticket, c call, r model.Refusal, out *Out) State {
+	if c.mayHaveRun {
+		r = refusal(r.Reason, model.OutcomeUnknown, r.RetryAfterSeconds)
+	}
 	if c.mustClaim {
 		out.Raise(event.ClaimEnded{Ticket: ticket, NotRun: r.Execution == model.NotRun})
 	}
--- /dev/null
+++ b/core/flow/flow_test.go
@@ -0,0 +1,266 @@
+package flow
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"caroblane/core/conf"
+	"caroblane/core/effect"
+	"caroblane/core/event"
+	"caroblane/core/model"
+	"caroblane/core/step"
+)
+
+var begin = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+var keyHash = model.KeyHash(sha256.Sum256([]byte("key")))
+
+// record is what the world outside knows of one request.
+type record struct {
+	once    bool
+	claimed bool
+	// running is the attempt that has not ended, zero if there is none.
+	running  int
+	upstream model.UpstreamName
+	// executed tells that an upstream may have run the request.
+	executed bool
+	replies  int
+}
+
+// resumes tells that the request goes on at the upstream that ran it, which is
+// no new work.
+func (r *record) resumes(name model.UpstreamName) bool {
+	return r.executed && !r.once && r.upstream == name
+}
+
+// history drives flow with random events and checks each effect.
+type history struct {
+	state   State
+	conf    conf.State
+	at      time.Time
+	version model.Version
+	records map[model.Ticket]*record
+	last    model.Ticket
+	active  map[model.UpstreamName]bool
+	withKey bool
+}
+
+func newHistory(t *rapid.T) *history {
+	h := &history{
+		state: New(), conf: conf.New(), at: begin, records: map[model.Ticket]*record{},
+		active: map[model.UpstreamName]bool{}, withKey: true,
+	}
+	h.configure(t, model.KindModel, "m", model.Model{MaxTokens: 10})
+	h.configure(t, model.KindTemplate, "a", model.Template{Rate: 1, Burst: 1})
+	h.configure(t, model.KindKey, "k", model.Key{Account: "a", Hash: keyHash})
+	h.configure(t, model.KindRoute, "send", model.Route{Prefix: "/send", Upstreams: []model.UpstreamName{"p"}})
+	h.configure(t, model.KindUpstream, "p", h.upstream("p", model.UpstreamActive))
+	for i := range 3 {
+		name := model.UpstreamName(fmt.Sprintf("e%d", i))
+		h.configure(t, model.KindUpstream, string(name), h.upstream(name, model.UpstreamActive))
+	}
+	return h
+}
+
+func (h *history) upstream(name model.UpstreamName, state model.UpstreamState) model.Upstream {
+	h.active[name] = state == model.UpstreamActive
+	return model.Upstream{Address: "127.0.0.1:1", Slots: 2, Models: []model.ModelName{"m"}, State: state}
+}
+
+// configure changes an object and passes on what conf raises.
+func (h *history) configure(t *rapid.T, kind model.Kind, name string, value any) {
+	h.version++
+	in := step.Input[event.Event]{At: h.at, Event: event.ConfigChanged{
+		Changes: []model.Change{{Kind: kind, Name: name, Version: h.version, Generation: 1, Value: value}},
+		Upto:    h.version,
+	}}
+	var out conf.Out
+	h.conf, out = h.conf.Apply(in)
+	for _, e := range out.Raised {
+		h.apply(t, e)
+	}
+}
+
+func (h *history) apply(t *rapid.T, e event.Event) {
+	facts := Facts{Conf: h.conf, Fresh: true, At: h.at, Draw: rapid.Uint64().Draw(t, "draw")}
+	var out Out
+	h.state, out = h.state.Apply(step.Input[event.Event]{At: h.at, Event: e}, facts)
+	for _, e := range out.Effects {
+		h.check(t, e)
+	}
+	for _, raised := range out.Raised {
+		h.answer(t, raised)
+	}
+}
+
+// answer plays the limit and claim parts.
+func (h *history) answer(t *rapid.T, raised event.Event) {
+	switch e := raised.(type) {
+	case event.AdmissionAsked:
+		if rapid.Bool().Draw(t, "admitted") {
+			h.apply(t, event.AdmissionGranted{Ticket: e.Ticket})
+		} else {
+			h.apply(t, event.AdmissionRefused{Ticket: e.Ticket, Reason: model.RateLimited})
+		}
+	case event.ClaimAsked:
+		if rapid.Bool().Draw(t, "claimed") {
+			h.records[e.Ticket].claimed = true
+			h.apply(t, event.ClaimWon{Ticket: e.Ticket})
+		} else {
+			h.apply(t, event.ClaimRefused{Ticket: e.Ticket, Reason: model.ClaimUnavailable})
+		}
+	case event.ClaimEnded:
+		if e.NotRun && h.records[e.Ticket].executed {
+			t.Fatalf("claim of ticket %d, which may have run, was recorded as not run", e.Ticket)
+		}
+		if e.Known {
+			h.apply(t, event.ClaimRecorded{Ticket: e.Ticket})
+		}
+	}
+}
+
+func (h *history) check(t *rapid.T, e effect.Effect) {
+	switch e := e.(type) {
+	case effect.Dispatch:
+		r := h.records[e.Ticket]
+		switch {
+		case !h.active[e.Upstream.Name] && !r.resumes(e.Upstream.Name):
+			t.Fatalf("ticket %d went to %s, which is not active", e.Ticket, e.Upstream.Name)
+		case r.running != 0:
+			t.Fatalf("ticket %d was sent twice at once", e.Ticket)
+		case r.once && !r.claimed:
+			t.Fatalf("ticket %d was sent without a claim", e.Ticket)
+		case r.once && r.executed:
+			t.Fatalf("ticket %d, which may have run, was sent again", e.Ticket)
+		case r.replies > 0:
+			t.Fatalf("ticket %d was sent after its end", e.Ticket)
+		}
+		r.running, r.upstream = e.Attempt, e.Upstream.Name
+		if n := h.runningOn(e.Upstream.Name); n > e.Upstream.Slots {
+			t.Fatalf("%s runs %d requests in %d slots", e.Upstream.Name, n, e.Upstream.Slots)
+		}
+	case effect.Refuse:
+		if e.Refusal.Execution == model.NotRun && h.records[e.Ticket].executed {
+			t.Fatalf("ticket %d, which may have run, was refused as not run", e.Ticket)
+		}
+		h.records[e.Ticket].replies++
+	case effect.Finish:
+		h.records[e.Ticket].replies++
+	}
+}
+
+func (h *history) runningOn(name model.UpstreamName) int {
+	n := 0
+	for _, r := range h.records {
+		if r.running != 0 && r.upstream == name {
+			n++
+		}
+	}
+	return n
+}
+
+// pick returns the ticket of a request that has or has not a running attempt.
+func (h *history) pick(t *rapid.T, running bool) (model.Ticket, bool) {
+	var tickets []model.Ticket
+	for ticket, r := range h.records {
+		if r.replies == 0 && (r.running != 0) == running {
+			tickets = append(tickets, ticket)
+		}
+	}
+	if len(tickets) == 0 {
+		return 0, false
+	}
+	slices.Sort(tickets)
+	return rapid.SampledFrom(tickets).Draw(t, "ticket"), true
+}
+
+func (h *history) arrive(t *rapid.T) {
+	h.last++
+	once := rapid.Bool().Draw(t, "once")
+	request := model.Request{
+		ID: "r", Model: "m", HasKey: true, KeyHash: keyHash, Stream: rapid.Bool().Draw(t, "stream"),
+		AdmitBy: h.at.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "wait")) * time.Millisecond),
+	}
+	if once {
+		request.Kind, request.Path, request.IdempotencyKey = model.RequestPlain, "/send", "i"
+	}
+	h.records[h.last] = &record{once: once}
+	h.apply(t, event.RequestArrived{Ticket: h.last, Request: request})
+}
+
+func (h *history) endAttempt(t *rapid.T) {
+	ticket, ok := h.pick(t, true)
+	if !ok {
+		return
+	}
+	r := h.records[ticket]
+	ended := event.AttemptEnded{Ticket: ticket, Attempt: r.running}
+	ended.Outcome = rapid.SampledFrom([]model.Outcome{
+		model.Completed, model.NotSent, model.Rejected, model.Broken, model.CallerLeft,
+	}).Draw(t, "outcome")
+	if ended.Outcome == model.Broken {
+		ended.TokensPassed = rapid.IntRange(0, 2).Draw(t, "tokens")
+		ended.Crashed = rapid.Bool().Draw(t, "crashed")
+	}
+	r.running = 0
+	r.executed = r.executed || ended.Outcome == model.Completed || ended.Outcome == model.Broken ||
+		ended.Outcome == model.CallerLeft
+	h.apply(t, ended)
+}
+
+// Guards against a second execution, an untrue NotRun, work for a draining
+// upstream, more work than an upstream has slots, and requests that never end.
+func TestHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newHistory(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": h.arrive,
+			"end":    h.endAttempt,
+			"leave": func(t *rapid.T) {
+				if ticket, ok := h.pick(t, false); ok {
+					h.apply(t, event.CallerGone{Ticket: ticket})
+				}
+			},
+			"pass": func(t *rapid.T) {
+				h.at = h.at.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond)
+				h.apply(t, event.Tick{})
+			},
+			"drain": func(t *rapid.T) {
+				name := rapid.SampledFrom([]model.UpstreamName{"e0", "e1", "p"}).Draw(t, "upstream")
+				state := rapid.SampledFrom([]model.UpstreamState{model.UpstreamActive, model.UpstreamDraining}).Draw(t, "state")
+				h.configure(t, model.KindUpstream, string(name), h.upstream(name, state))
+			},
+		})
+		h.finish(t)
+	})
+}
+
+// finish lets every attempt end and all deadlines pass: each request must then
+// have had exactly one end.
+func (h *history) finish(t *rapid.T) {
+	h.at = h.at.Add(time.Minute)
+	h.apply(t, event.Tick{})
+	for {
+		ticket, ok := h.pick(t, true)
+		if !ok {
+			break
+		}
+		r := h.records[ticket]
+		attempt := r.running
+		r.running, r.executed = 0, true
+		h.apply(t, event.AttemptEnded{Ticket: ticket, Attempt: attempt, Outcome: model.Completed})
+	}
+	for ticket, r := range h.records {
+		if r.replies != 1 {
+			t.Fatalf("ticket %d got %d ends", ticket, r.replies)
+		}
+	}
+	if h.state.Open() != 0 || h.state.Waiting() != 0 {
+		t.Fatalf("%d requests are open and %d wait after their ends", h.state.Open(), h.state.Waiting())
+	}
+}
