--- a/fake/engine/http.go
+++ b/fake/engine/http.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/binary"
 	"encoding/json"
 	"io"
 	"math/rand/v2"
@@ -11,17 +13,20 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"caroblane/fake/gate"
 	"caroblane/fake/serve"
 )
 
 const (
+	headerAttempt   = "X-Attempt"
+	headerRequestID = "X-Request-Id"
+
 	maxBody = 16 << 20
 	// tokenBytes is the size of a prompt token. The stand-in has no tokenizer.
 	tokenBytes       = 4
 	defaultMaxTokens = 16
+	// maxPieces bounds the pieces of a prompt that are cached.
+	maxPieces = 64
 )
 
 // Engine is the stand-in on a listener.
@@ -59,13 +64,17 @@
 	return e.Gated.Run(ctx, mux)
 }
 
-// Prefixes returns the hashes of the whole pieces of a prompt, from the start.
-func Prefixes(prompt string) []uint64 {
-	var prefixes []uint64
-	digest := xxhash.New()
-	for size := PieceTokens * tokenBytes; len(prompt) >= size; prompt = prompt[size:] {
-		_, _ = digest.WriteString(prompt[:size])
-		prefixes = append(prefixes, digest.Sum64())
+// Prefixes returns a running hash for each whole piece of a request's body: the
+// first 8 bytes, little-endian, of the SHA-256 of the body up to the end of the
+// piece. A router computes the same to compare with cache events.
+func Prefixes(body []byte) []uint64 {
+	const pieceBytes = PieceTokens * tokenBytes
+	pieces := min(len(body)/pieceBytes, maxPieces)
+	prefixes := make([]uint64, 0, pieces)
+	sum := sha256.New()
+	for i := range pieces {
+		_, _ = sum.Write(body[i*pieceBytes : (i+1)*pieceBytes])
+		prefixes = append(prefixes, binary.LittleEndian.Uint64(sum.Sum(nil)))
 	}
 	return prefixes
 }
@@ -97,6 +106,10 @@
 }
 
 func (e *Engine) handleChat(w http.ResponseWriter, r *http.Request) {
+	// Callers recognise an answer that is not theirs by these headers.
+	for _, name := range []string{headerRequestID, headerAttempt} {
+		w.Header().Set(name, r.Header.Get(name))
+	}
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil {
 		serve.Refuse(w, http.StatusRequestEntityTooLarge, "TooLarge", "NotRun", err.Error())
@@ -118,8 +131,8 @@
 	prompt := body.prompt()
 	s := &stream{
 		engine: e,
-		id:     r.Header.Get("X-Request-Id"),
-		try:    r.Header.Get("X-Attempt"),
+		id:     r.Header.Get(headerRequestID),
+		try:    r.Header.Get(headerAttempt),
 		model:  body.Model,
 		seed:   Seed(body.Model, prompt, body.Seed),
 		whole:  !body.Stream,
@@ -130,8 +143,6 @@
 			"header Last-Event-ID: accepted: <X-Request-Id>/<attempt>/<offset>")
 		return
 	}
-	w.Header().Set("X-Request-Id", s.id)
-	w.Header().Set("X-Attempt", s.try)
 	priority, _ := strconv.Atoi(r.Header.Get("X-Priority"))
 	call, err := e.Open(r, true, func(ticket uint64) Event {
 		if s.id == "" {
@@ -147,7 +158,7 @@
 			Priority:     priority,
 			Model:        body.Model,
 			Prompt:       prompt,
-			Prefixes:     Prefixes(prompt),
+			Prefixes:     Prefixes(data),
 			PromptTokens: TokensOf(prompt),
 			MaxTokens:    maxTokens,
 			Seed:         s.seed,
--- a/fake/engine/http_test.go
+++ b/fake/engine/http_test.go
@@ -169,6 +169,9 @@
 		var body struct{ Reason, Execution string }
 		err = json.NewDecoder(response.Body).Decode(&body)
 		_ = response.Body.Close()
+		if id := response.Header.Get("X-Request-Id"); len(c.header) > 0 && id != "r" {
+			t.Errorf("%s: answer to request %q", name, id)
+		}
 		if err != nil || response.StatusCode != c.status || body.Reason != c.reason || body.Execution != "NotRun" {
 			t.Errorf("%s: status %d, %+v, error %v", name, response.StatusCode, body, err)
 		}
--- a/fake/engine/state.go
+++ b/fake/engine/state.go
@@ -101,7 +101,7 @@
 	// CutAfter cuts each stream after so many tokens. Zero cuts none.
 	CutAfter int
 	// Cross puts an event of another request into each stream, and Late one of
-	// an earlier attempt.
+	// an earlier attempt. An answer that is no stream has their headers.
 	Cross bool
 	Late  bool
 	// Slow is a factor on all costs. Zero means one.
--- a/fake/engine/stream.go
+++ b/fake/engine/stream.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 
 	"caroblane/fake/gate"
 	"caroblane/fake/serve"
@@ -159,12 +160,17 @@
 		`,"prompt_tokens_details":{"cached_tokens":` + strconv.Itoa(t.CachedTokens) + `}}`
 }
 
-// writeWhole writes the answer as one JSON object.
+// writeWhole writes the answer as one JSON object. A crossed or late one has
+// the headers of another request or attempt.
 func (s *stream) writeWhole(w http.ResponseWriter, t Tokens) {
 	if t.Cut {
 		serve.Hangup(w)
 		return
 	}
+	if id, attempt, ok := strings.Cut(t.Foreign, "/"); ok {
+		w.Header().Set(headerRequestID, id)
+		w.Header().Set(headerAttempt, attempt)
+	}
 	body := `{"id":` + strconv.Quote(s.id) + `,"object":"chat.completion","created":0,"model":` + strconv.Quote(s.model) +
 		`,"choices":[{"index":0,"message":{"role":"assistant","content":` + strconv.Quote(Text(s.seed, 0, t.Upto)) +
 		`},"finish_reason":"length"}],"usage":` + usage(t) + `}`
--- a/fake/store/state.go
+++ b/fake/store/state.go
@@ -175,7 +175,7 @@
 	}
 	s.kinds = s.kinds.Set(e.Kind, held.with(old, next, s.limits))
 	out = append(out, Answer{Ticket: e.Ticket, Status: http.StatusOK, Body: next})
-	return s.wake(out)
+	return s.wake(e.Kind, out)
 }
 
 // with returns the shelf after a write.
@@ -263,9 +263,12 @@
 }
 
 // wake answers the watches that the last write concerns.
-func (s State) wake(out []Answer) (State, []Answer) {
+func (s State) wake(kind string, out []Answer) (State, []Answer) {
 	for itr := s.watches.Iterator(); !itr.Done(); {
 		ticket, w, _ := itr.Next()
+		if len(w.Kinds) > 0 && !slices.Contains(w.Kinds, kind) {
+			continue
+		}
 		if p := s.page(w); len(p.Objects) > 0 {
 			s.watches = s.watches.Delete(ticket)
 			out = append(out, Answer{Ticket: ticket, Status: http.StatusOK, Body: p})
--- a/io/plat/client_test.go
+++ b/io/plat/client_test.go
@@ -353,19 +353,30 @@
 	c.http.CloseIdleConnections()
 }
 
+// slowClose is a connection whose Close takes no effect yet.
+type slowClose struct {
+	net.Conn
+	bytes int
+}
+
+func (c *slowClose) Close() error { return nil }
+
+func (c *slowClose) RemoteAddr() net.Addr { return &net.TCPAddr{} }
+
+func (c *slowClose) Write(b []byte) (int, error) {
+	c.bytes += len(b)
+	return len(b), nil
+}
+
 // TestSealedConn guards against bytes that leave after a write was reported as
 // unsent: the transport writes on a goroutine that outlives the call.
 func TestSealedConn(t *testing.T) {
-	near, far := net.Pipe()
-	defer func() { _ = far.Close() }()
-	c := &markedConn{Conn: near}
+	under := &slowClose{}
+	c := &markedConn{Conn: under}
 	if writes := c.seal(); writes != 0 {
 		t.Errorf("%d writes before the first", writes)
 	}
-	if n, err := c.Write([]byte("x")); n != 0 || err == nil {
-		t.Errorf("sealed connection wrote %d bytes, error %v", n, err)
-	}
-	if writes := c.count(); writes != 0 {
-		t.Errorf("%d writes after seal", writes)
+	if n, err := c.Write([]byte("x")); n != 0 || err == nil || under.bytes != 0 || c.count() != 0 {
+		t.Errorf("sealed connection wrote %d bytes, error %v", under.bytes, err)
 	}
 }
