Report every caller that leaves a stand-in early, and bound goroutines of the client

A stream whose caller left during a write stayed attached to its request, since only an ended context was reported. Answers to calls that find the client's queue full are posted by one goroutine instead of one each.

--- a/fake/engine/stream.go
+++ b/fake/engine/stream.go
@@ -32,7 +32,7 @@
 }
 
 // copy writes tokens as they come.
-func (s *stream) copy(w http.ResponseWriter, r *http.Request, call serve.Call[Effect]) {
+func (s *stream) copy(w http.ResponseWriter, r *http.Request, call *serve.Call[Effect]) {
 	s.head = []byte("id: " + s.id + "/" + s.try + "/")
 	s.middle = []byte(`data: {"id":` + strconv.Quote(s.id) + `,"object":"chat.completion.chunk","created":0,"model":` +
 		strconv.Quote(s.model) + `,"choices":[{"index":0,"delta":`)
@@ -64,19 +64,15 @@
 
 // await returns the next effect. A stream that has begun is cut where another
 // call would be answered.
-func (s *stream) await(w http.ResponseWriter, r *http.Request, call serve.Call[Effect]) (Effect, bool) {
+func (s *stream) await(w http.ResponseWriter, r *http.Request, call *serve.Call[Effect]) (Effect, bool) {
 	if !s.begun {
 		return s.engine.Await(w, r, call)
 	}
-	select {
-	case given := <-call.Answers:
-		if given.Action != gate.Pass {
-			panic(http.ErrAbortHandler)
-		}
-		return given.Inner, true
-	case <-r.Context().Done():
-		return nil, false
+	given, ok := call.Next(r.Context())
+	if ok && given.Action != gate.Pass {
+		panic(http.ErrAbortHandler)
 	}
+	return given.Inner, ok
 }
 
 // write writes the events of the tokens up to an offset. It reports false when
--- a/fake/serve/gated.go
+++ b/fake/serve/gated.go
@@ -59,9 +59,23 @@
 func (g *Gated[S, E, F]) Addr() string { return g.listener.Addr().String() }
 
 // Call is an open call.
-type Call[F any] struct {
-	Answers <-chan gate.Effect[F]
+type Call[F gate.Answer] struct {
+	answers <-chan gate.Effect[F]
 	ticket  uint64
+	// over tells that the caller has got its last answer.
+	over bool
+}
+
+// Next returns the next effect for the caller. It reports false when the
+// context ends.
+func (c *Call[F]) Next(ctx context.Context) (gate.Effect[F], bool) {
+	select {
+	case given := <-c.answers:
+		c.over = given.Action != gate.Pass || given.Inner.Last()
+		return given, true
+	case <-ctx.Done():
+		return gate.Effect[F]{}, false
+	}
 }
 
 // Ask passes a call through the gate and returns its only answer. Without an
@@ -79,30 +93,28 @@
 }
 
 // Await returns the next answer to a call, like Ask.
-func (g *Gated[S, E, F]) Await(w http.ResponseWriter, r *http.Request, call Call[F]) (answer F, ok bool) {
-	select {
-	case given := <-call.Answers:
-		switch given.Action {
-		case gate.Pass:
-			return given.Inner, true
-		case gate.Limit:
-			w.Header().Set("Retry-After", "1")
-			Refuse(w, http.StatusTooManyRequests, "RateLimited", "NotRun", "rate of calls exceeded")
-		case gate.Hangup:
-			Hangup(w)
-		}
-	case <-r.Context().Done():
+func (g *Gated[S, E, F]) Await(w http.ResponseWriter, r *http.Request, call *Call[F]) (answer F, ok bool) {
+	given, ok := call.Next(r.Context())
+	if !ok {
 		Hangup(w)
-	case <-g.loop.Done():
+		return answer, false
+	}
+	switch given.Action {
+	case gate.Pass:
+		return given.Inner, true
+	case gate.Limit:
+		w.Header().Set("Retry-After", "1")
+		Refuse(w, http.StatusTooManyRequests, "RateLimited", "NotRun", "rate of calls exceeded")
+	case gate.Hangup:
 		Hangup(w)
 	}
 	return answer, false
 }
 
-// Close ends a call.
-func (g *Gated[S, E, F]) Close(r *http.Request, call Call[F]) {
+// Close ends a call. The machine learns of a caller that left early.
+func (g *Gated[S, E, F]) Close(r *http.Request, call *Call[F]) {
 	g.desk.Close(call.ticket)
-	if r.Context().Err() != nil {
+	if !call.over {
 		_ = g.loop.Post(context.WithoutCancel(r.Context()), gate.Gone[E]{Ticket: call.ticket})
 	}
 }
@@ -208,14 +220,14 @@
 func (g *Gated[S, E, F]) OnOther(other func(F)) { g.other = other }
 
 // Open passes a call through the gate. The caller must close it.
-func (g *Gated[S, E, F]) Open(r *http.Request, write bool, event func(ticket uint64) E) (Call[F], error) {
+func (g *Gated[S, E, F]) Open(r *http.Request, write bool, event func(ticket uint64) E) (*Call[F], error) {
 	ticket, answers := g.desk.Open()
 	call := gate.Call[E]{Ticket: ticket, Client: r.Header.Get("X-Client"), Write: write, Inner: event(ticket)}
 	if err := g.loop.Post(r.Context(), call); err != nil {
 		g.desk.Close(ticket)
-		return Call[F]{}, err
+		return nil, err
 	}
-	return Call[F]{Answers: answers, ticket: ticket}, nil
+	return &Call[F]{answers: answers, ticket: ticket}, nil
 }
 
 // Restart ends the listener and all connections at once, and listens again on
--- a/io/plat/client.go
+++ b/io/plat/client.go
@@ -87,6 +87,7 @@
 	watchDraw *rand.Rand
 	vmDraw    *rand.Rand
 	queue     chan job
+	refused   *backlog[event.Event]
 	done      chan struct{}
 }
 
@@ -106,6 +107,7 @@
 		watchDraw: rand.New(rand.NewPCG(draw.Uint64(), draw.Uint64())),
 		vmDraw:    rand.New(rand.NewPCG(draw.Uint64(), draw.Uint64())),
 		queue:     make(chan job, queueSize),
+		refused:   newBacklog[event.Event](),
 		done:      make(chan struct{}),
 	}
 }
@@ -115,7 +117,7 @@
 
 // Execute queues ReadObject and WriteObject and ignores other effects. When
 // the queue is full, the answer is ObjectReadFailed or ObjectUnsent.
-func (c *Client) Execute(ctx context.Context, e effect.Effect) {
+func (c *Client) Execute(_ context.Context, e effect.Effect) {
 	switch e.(type) {
 	case effect.ReadObject, effect.WriteObject:
 	default:
@@ -124,8 +126,7 @@
 	select {
 	case c.queue <- job{effect: e, by: c.clock.Now().Add(c.settings.CallTerm)}:
 	default:
-		// The caller is the goroutine that empties the poster's queue.
-		go c.post(ctx, unsent(e))
+		c.refused.add(unsent(e))
 	}
 }
 
@@ -136,6 +137,7 @@
 	for range c.settings.Workers {
 		running.Go(func() { c.work(ctx) })
 	}
+	running.Go(func() { c.refuse(ctx) })
 	running.Go(func() { c.watch(ctx) })
 	running.Go(func() { c.listVMs(ctx) })
 	running.Wait()
@@ -144,6 +146,19 @@
 
 func (c *Client) post(ctx context.Context, e event.Event) { _ = c.poster.Post(ctx, e) }
 
+// refuse posts the answers to calls that found the queue full.
+func (c *Client) refuse(ctx context.Context) {
+	for {
+		events, ok := c.refused.take(ctx)
+		if !ok {
+			return
+		}
+		for _, e := range events {
+			c.post(ctx, e)
+		}
+	}
+}
+
 func (c *Client) work(ctx context.Context) {
 	for {
 		select {
--- a/io/plat/client_test.go
+++ b/io/plat/client_test.go
@@ -270,6 +270,8 @@
 	}
 	c.Execute(t.Context(), effect.ReadObject{Op: model.Op{Seq: 1}})
 	c.Execute(t.Context(), put(0))
+	done := make(chan struct{})
+	start(t, func(ctx context.Context) { defer close(done); c.refuse(ctx) }, done)
 	answers := map[string]bool{}
 	for range 2 {
 		answers[fmt.Sprintf("%T", awaitOp(t, b))] = true
