--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -11,6 +11,7 @@
 	"caroblane/core/conf"
 	"caroblane/core/effect"
 	"caroblane/core/event"
+	"caroblane/core/fair"
 	"caroblane/core/model"
 	"caroblane/core/step"
 )
@@ -30,6 +31,8 @@
 	Fresh bool
 	// Draw is a random number for this event.
 	Draw uint64
+	// At is the time of this event.
+	At time.Time
 }
 
 type phase int
@@ -37,6 +40,8 @@
 const (
 	admitting phase = iota
 	claiming
+	// waiting for an upstream with a free slot.
+	waiting
 	running
 	recording
 )
@@ -54,6 +59,8 @@
 	attempt  int
 	upstream model.UpstreamName
 	tried    []model.UpstreamName
+	// mayHaveRun tells that an earlier attempt ended without an answer.
+	mayHaveRun bool
 	// resumed is the number of tokens that the caller had at the last resume.
 	resumed int
 }
@@ -64,6 +71,14 @@
 	open     *immutable.Map[model.Ticket, call]
 	// load counts this node's running attempts on each upstream.
 	load *immutable.Map[model.UpstreamName, int]
+	// fullUntil holds the upstreams that refused a request for lack of room.
+	fullUntil *immutable.Map[model.UpstreamName, time.Time]
+	// queue holds the requests in the phase waiting.
+	queue fair.Queue[model.AccountName, model.Ticket]
+	// deadlines orders the same requests by when they are refused.
+	deadlines *immutable.SortedMap[deadline, struct{}]
+	// serveAt is when the queue is looked through again, zero if it is empty.
+	serveAt time.Time
 }
 
 // New returns a state without requests.
@@ -71,6 +86,10 @@
 	return State{
 		open: immutable.NewMap[model.Ticket, call](ticketHasher{}),
 		load: immutable.NewMap[model.UpstreamName, int](nil),
+
+		fullUntil: immutable.NewMap[model.UpstreamName, time.Time](nil),
+		queue:     fair.New[model.AccountName, model.Ticket](ageTerm),
+		deadlines: immutable.NewSortedMap[deadline, struct{}](deadlineOrder{}),
 	}
 }
 
@@ -98,6 +117,10 @@
 		s.draining = true
 	case event.KeyChanged:
 		s = s.keyChanged(e, &out)
+	case event.Tick:
+		s = s.expired(facts, &out)
+	case event.UpstreamChanged:
+		s = s.served(facts, &out)
 	}
 	return s, out
 }
@@ -105,9 +128,6 @@
 // Draining tells whether the node takes no new requests.
 func (s State) Draining() bool { return s.draining }
 
-// Next returns the zero time: the limit part keeps the admission deadlines.
-func (s State) Next() time.Time { return time.Time{} }
-
 // Open returns the number of open requests.
 func (s State) Open() int { return s.open.Len() }
 
@@ -220,7 +240,7 @@
 	}
 	upstream, ok := s.place(c, facts)
 	if !ok {
-		return s.failed(ticket, c, refusal(model.NoUpstream, model.NotRun, 1), out)
+		return s.queued(ticket, c, facts, out)
 	}
 	c.tried = append(c.tried[:len(c.tried):len(c.tried)], upstream.Name)
 	return s.sent(ticket, c, upstream, out)
@@ -249,6 +269,17 @@
 		return s
 	}
 	s = s.withLoad(c.upstream, -1)
+	if e.Outcome == model.Rejected {
+		s.fullUntil = s.fullUntil.Set(c.upstream, facts.At.Add(fullTerm))
+	}
+	s = s.ended(e, c, facts, out)
+	return s.served(facts, out)
+}
+
+// ended decides what follows the end of an attempt.
+func (s State) ended(e event.AttemptEnded, c call, facts Facts, out *Out) State {
+	c.mayHaveRun = c.mayHaveRun || e.Outcome == model.Broken || e.Outcome == model.CallerLeft
+	s.open = s.open.Set(e.Ticket, c)
 	if e.Outcome == model.Completed {
 		return s.completed(e, c, out)
 	}
@@ -274,7 +305,7 @@
 // that generated it holds the tokens, so no other one is tried.
 func (s State) resume(e event.AttemptEnded, c call, facts Facts, out *Out) State {
 	upstream, ok := facts.Conf.Upstream(c.upstream)
-	mayResume := ok && c.request.Stream && !e.Crashed && e.Outcome != model.Rejected && c.attempt < maxAttempts
+	mayResume := ok && !c.mustClaim && c.request.Stream && !e.Crashed && e.Outcome != model.Rejected && c.attempt < maxAttempts
 	if !mayResume {
 		return s.failed(e.Ticket, c, refusal(model.StreamTruncated, model.OutcomeUnknown, 0), out)
 	}
@@ -293,8 +324,12 @@
 	return s
 }
 
-// failed ends a request that may hold a claim.
+// failed ends a request that may hold a claim. After an attempt without an
+// answer the outcome stays unknown, whatever became of later ones.
 func (s State) failed(ticket model.Ticket, c call, r model.Refusal, out *Out) State {
+	if c.mayHaveRun {
+		r = refusal(r.Reason, model.OutcomeUnknown, r.RetryAfterSeconds)
+	}
 	if c.mustClaim {
 		out.Raise(event.ClaimEnded{Ticket: ticket, NotRun: r.Execution == model.NotRun})
 	}
@@ -337,12 +372,23 @@
 
 func (s State) callerGone(ticket model.Ticket, out *Out) State {
 	c, ok := s.open.Get(ticket)
-	if !ok || c.phase != admitting {
+	if !ok {
+		return s
+	}
+	switch c.phase {
+	case admitting:
+		out.Raise(event.AdmissionDropped{Ticket: ticket})
+		return s.finished(ticket, out)
+	case waiting:
+		s = s.unqueued(ticket, c)
+		if c.mustClaim {
+			out.Raise(event.ClaimEnded{Ticket: ticket, NotRun: true})
+		}
+		return s.finished(ticket, out)
+	default:
 		// A running attempt reports its own end.
 		return s
 	}
-	out.Raise(event.AdmissionDropped{Ticket: ticket})
-	return s.finished(ticket, out)
 }
 
 // keyChanged ends the open requests of a key that is no longer active.
@@ -363,6 +409,7 @@
 			continue
 		}
 		out.Raise(event.AdmissionDropped{Ticket: ticket})
+		s = s.unqueued(ticket, c)
 		s = s.failed(ticket, c, refusal(model.KeyWasWithdrawn, model.NotRun, 0), out)
 	}
 	return s
--- a/core/flow/place.go
+++ b/core/flow/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/benbjohnson/immutable"
 
@@ -19,30 +20,36 @@
 // candidate is an upstream as placement sees it.
 type candidate struct {
 	conf.Placeable
-	load  *immutable.Map[model.UpstreamName, int]
-	tried []model.UpstreamName
+	*facing
+}
+
+// facing is what decides whether a request may go to an upstream now.
+type facing struct {
+	load      *immutable.Map[model.UpstreamName, int]
+	fullUntil *immutable.Map[model.UpstreamName, time.Time]
+	tried     []model.UpstreamName
+	at        time.Time
 }
 
 // engines lists the upstreams of a model.
 type engines struct {
-	list  []conf.Placeable
-	load  *immutable.Map[model.UpstreamName, int]
-	tried []model.UpstreamName
+	list []conf.Placeable
+	*facing
 }
 
 // services lists the upstreams of a route.
 type services struct {
 	names  []model.UpstreamName
 	config conf.State
-	load   *immutable.Map[model.UpstreamName, int]
-	tried  []model.UpstreamName
+	*facing
 }
 
 // place picks the upstream for the next attempt of a request.
 func (s State) place(c call, facts Facts) (model.Upstream, bool) {
-	var list place.List[candidate] = engines{facts.Conf.UpstreamsOf(c.request.Model), s.load, c.tried}
+	now := &facing{s.load, s.fullUntil, c.tried, facts.At}
+	var list place.List[candidate] = engines{facts.Conf.UpstreamsOf(c.request.Model), now}
 	if c.request.Kind == model.RequestPlain {
-		list = services{c.services, facts.Conf, s.load, c.tried}
+		list = services{c.services, facts.Conf, now}
 	}
 	i, ok := placement.Pick(list, prefixKey(c.request), facts.Draw)
 	if !ok {
@@ -52,7 +59,7 @@
 }
 
 // At implements place.List.
-func (e engines) At(i int) candidate { return candidate{e.list[i], e.load, e.tried} }
+func (e engines) At(i int) candidate { return candidate{e.list[i], e.facing} }
 
 // Len implements place.List.
 func (e engines) Len() int { return len(e.list) }
@@ -60,7 +67,7 @@
 // At implements place.List.
 func (s services) At(i int) candidate {
 	upstream, _ := s.config.Upstream(s.names[i])
-	return candidate{conf.Placeable{Upstream: upstream}, s.load, s.tried}
+	return candidate{conf.Placeable{Upstream: upstream}, s.facing}
 }
 
 // Len implements place.List.
@@ -74,7 +81,13 @@
 	if c.Name == "" || c.State != model.UpstreamActive || slices.Contains(c.tried, c.Name) {
 		return 0, false
 	}
+	if until, ok := c.fullUntil.Get(c.Name); ok && c.at.Before(until) {
+		return 0, false
+	}
 	running, _ := c.load.Get(c.Name)
+	if running >= c.Slots {
+		return 1, false
+	}
 	return float64(running) / float64(c.Slots), true
 }
 
@@ -85,3 +98,17 @@
 	}
 	return request.PrefixHashes[0]
 }
+
+// withoutPast returns the upstreams whose time is still to come.
+func withoutPast(
+	until *immutable.Map[model.UpstreamName, time.Time], at time.Time,
+) *immutable.Map[model.UpstreamName, time.Time] {
+	kept := until
+	for itr := until.Iterator(); !itr.Done(); {
+		name, end, _ := itr.Next()
+		if !end.After(at) {
+			kept = kept.Delete(name)
+		}
+	}
+	return kept
+}
--- a/io/cmds/config.go
+++ b/io/cmds/config.go
@@ -85,11 +85,11 @@
 			case exists:
 				change = "update"
 			}
-			all = append(all, difference{kindName(kind), o.name, change, old.version})
+			all = append(all, difference{kind.Name(), o.name, change, old.version})
 		}
 		for _, o := range held.of(kind) {
 			if _, ok := inFile.get(o.ref); !ok {
-				all = append(all, difference{kindName(kind), o.name, "not in file", o.version})
+				all = append(all, difference{kind.Name(), o.name, "not in file", o.version})
 			}
 		}
 	}
--- a/io/cmds/objects.go
+++ b/io/cmds/objects.go
@@ -23,7 +23,7 @@
 }
 
 // String returns Kind/Name.
-func (r ref) String() string { return kindName(r.kind) + "/" + r.name }
+func (r ref) String() string { return r.kind.Name() + "/" + r.name }
 
 // object is an object of the platform or of a file.
 type object struct {
@@ -94,13 +94,10 @@
 	return kinds
 }
 
-// kindName returns the name of a kind in paths and files.
-func kindName(kind model.Kind) string { return strings.TrimPrefix(kind.String(), "Kind") }
-
 // kindOf returns the kind of the given name.
 func kindOf(name string, last model.Kind) (model.Kind, bool) {
 	for kind := model.Kind(0); kind <= last; kind++ {
-		if kindName(kind) == name {
+		if kind.Name() == name {
 			return kind, true
 		}
 	}
@@ -119,7 +116,7 @@
 // documentOf returns the printed form of an object.
 func documentOf(o object) document {
 	version := o.version
-	return document{Kind: kindName(o.kind), Name: o.name, Version: &version, Generation: o.generation, Value: o.raw}
+	return document{Kind: o.kind.Name(), Name: o.name, Version: &version, Generation: o.generation, Value: o.raw}
 }
 
 // parseFile reads one object, several objects one after the other, or an array
--- a/io/cmds/platform.go
+++ b/io/cmds/platform.go
@@ -81,7 +81,7 @@
 func (p platform) list(ctx context.Context, kinds ...model.Kind) (objects, error) {
 	names := make([]string, 0, len(kinds))
 	for _, kind := range kinds {
-		names = append(names, kindName(kind))
+		names = append(names, kind.Name())
 	}
 	var all []object
 	var after model.Version
@@ -221,4 +221,4 @@
 	return o
 }
 
-func path(r ref) string { return "/objects/" + kindName(r.kind) + "/" + url.PathEscape(r.name) }
+func path(r ref) string { return "/objects/" + r.kind.Name() + "/" + url.PathEscape(r.name) }
--- a/io/cmds/resource.go
+++ b/io/cmds/resource.go
@@ -73,7 +73,7 @@
 	return r.leaf(spec{
 		name: "apply", usage: "create or replace one " + res.noun + " from a file", args: "FILE",
 		about: "FILE holds one object in JSON; - is standard input. Without Version, the current version is replaced;\n" +
-			"Version 0 only creates.\n\n  {\"Kind\": \"" + kindName(res.kind) + "\", \"Name\": \"NAME\", \"Value\": {...}}",
+			"Version 0 only creates.\n\n  {\"Kind\": \"" + res.kind.Name() + "\", \"Name\": \"NAME\", \"Value\": {...}}",
 		example: "caroblane " + res.noun + " apply file.json",
 		action: func(ctx context.Context, _ *cli.Command, args []string) error {
 			found, err := r.readFile(args[0])
@@ -82,7 +82,7 @@
 			}
 			if len(found) != 1 || found[0].kind != res.kind {
 				return Usage.New("%s: holds %d objects, the first of kind %s; accepted: one object of kind %s",
-					args[0], len(found), kindName(found[0].kind), kindName(res.kind))
+					args[0], len(found), found[0].kind.Name(), res.kind.Name())
 			}
 			return r.change(ctx, planApply(found[0]))
 		},
--- a/io/stack/stack.go
+++ b/io/stack/stack.go
@@ -55,6 +55,7 @@
 	callers  []string
 	admins   []string
 	engines  []string
+	platform netip.AddrPort
 	nodes    *group
 	standIns *group
 }
@@ -84,9 +85,10 @@
 func New(ctx context.Context, options Options, log zerolog.Logger) (*Stack, error) {
 	ctx = context.WithoutCancel(ctx)
 	s := &Stack{options: options, nodes: newGroup(ctx, options.Nodes), standIns: newGroup(ctx, options.Engines+2)}
-	platform, err := s.startStandIns()
+	var err error
+	s.platform, err = s.startStandIns()
 	if err == nil {
-		err = s.startNodes(platform, log)
+		err = s.startNodes(s.platform, log)
 	}
 	if err != nil {
 		_ = s.Stop()
@@ -104,6 +106,9 @@
 // Engines returns the addresses of the engine stand-ins.
 func (s *Stack) Engines() []string { return s.engines }
 
+// Platform returns the address of the platform's stand-in.
+func (s *Stack) Platform() string { return s.platform.String() }
+
 // Ready returns when every node admits requests.
 func (s *Stack) Ready(ctx context.Context) error {
 	ticker := time.NewTicker(readyPoll)
