--- a/fake/plain/http.go
+++ b/fake/plain/http.go
@@ -51,7 +51,10 @@
 	Runs       []Run
 }
 
-type statusBody struct{ Status int }
+type statusBody struct {
+	Status int
+	NotRun bool
+}
 
 func (p *Plain) handle(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
@@ -72,6 +75,10 @@
 	if !ok {
 		return
 	}
+	if answer.NotRun {
+		serve.Refuse(w, answer.Status, "Full", "NotRun", "request was refused")
+		return
+	}
 	serve.JSON(w, answer.Status, answerBody{
 		Path:           r.URL.Path,
 		IdempotencyKey: answer.Run.IdempotencyKey,
--- a/fake/plain/plain_test.go
+++ b/fake/plain/plain_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -51,6 +52,7 @@
 		{"second with the same key", gate.Faults{}, "0", "k1", "r2", 200, 2},
 		{"without a key", gate.Faults{}, "0", "", "r3", 200, 3},
 		{"status", gate.Faults{}, "503", "k2", "r4", 503, 4},
+		{"refused", gate.Faults{}, `503,"NotRun":true`, "k5", "r7", 503, 4},
 		{"answer lost", gate.Faults{LoseAnswers: 1}, "0", "k3", "r5", 0, 5},
 		{"down", gate.Faults{Down: true}, "0", "k4", "r6", 0, 5},
 	} {
@@ -80,7 +82,8 @@
 	if err := json.NewDecoder(response.Body).Decode(&stats); err != nil {
 		t.Fatal(err)
 	}
-	if len(stats.Runs) != 4 || stats.Runs[0].Executions != 2 || stats.Runs[1].RequestID != "r3" || stats.Runs[3].Executions != 1 {
+	if len(stats.Runs) != 4 || stats.Runs[0].Executions != 2 || !slices.Equal(stats.Runs[0].RequestIDs, []string{"r1", "r2"}) ||
+		stats.Runs[1].RequestIDs[0] != "r3" || stats.Runs[3].Executions != 1 {
 		t.Errorf("got %+v", stats)
 	}
 }
--- a/fake/plain/state.go
+++ b/fake/plain/state.go
@@ -3,6 +3,9 @@
 package plain
 
 import (
+	"cmp"
+	"net/http"
+	"slices"
 	"time"
 
 	"github.com/benbjohnson/immutable"
@@ -13,6 +16,9 @@
 // maxRuns bounds the requests that are remembered; the oldest go first.
 const maxRuns = 100_000
 
+// maxRequestIDs bounds the request identifiers that are kept for each.
+const maxRequestIDs = 16
+
 // Event is a call, a control call or the timer.
 type Event interface{ isEvent() }
 
@@ -29,8 +35,12 @@
 // Gone tells that a caller has left.
 type Gone struct{}
 
-// SetStatus sets the status of the answers. Zero means 200.
-type SetStatus struct{ Status int }
+// SetStatus sets the status of the answers. Zero means 200. With NotRun, calls
+// are refused with the status and not executed.
+type SetStatus struct {
+	Status int
+	NotRun bool
+}
 
 // Tick is the timer event.
 type Tick struct{}
@@ -44,6 +54,8 @@
 type Answer struct {
 	Ticket uint64
 	Status int
+	// NotRun tells that the request was refused. Run is zero then.
+	NotRun bool
 	Run    Run
 }
 
@@ -53,19 +65,21 @@
 // To returns the ticket.
 func (a Answer) To() uint64 { return a.Ticket }
 
-// Run counts the executions of one request.
+// Run counts the executions of one request: those with the same idempotency
+// key, or with the same request identifier where there is no key.
 type Run struct {
 	IdempotencyKey string
-	RequestID      string `json:"RequestId"`
-	Method         string
-	Path           string
-	BodyBytes      int
-	Executions     int
+	// RequestIDs are those of the first executions, as far as they are kept.
+	RequestIDs []string `json:"RequestIds"`
+	Method     string
+	Path       string
+	BodyBytes  int
+	Executions int
 }
 
 // State is the state of the stand-in.
 type State struct {
-	status int
+	answer SetStatus
 	// order holds the keys of runs from the oldest.
 	order *immutable.List[string]
 	runs  *immutable.Map[string, Run]
@@ -83,7 +97,7 @@
 	case Execute:
 		return s.execute(e)
 	case SetStatus:
-		s.status = e.Status
+		s.answer = e
 	}
 	return s, nil
 }
@@ -107,6 +121,10 @@
 
 // execute counts by idempotency key, and by request where there is none.
 func (s State) execute(e Execute) (State, []Answer) {
+	status := cmp.Or(s.answer.Status, http.StatusOK)
+	if s.answer.NotRun {
+		return s, []Answer{{Ticket: e.Ticket, Status: status, NotRun: true}}
+	}
 	key := "key " + e.IdempotencyKey
 	if e.IdempotencyKey == "" {
 		key = "request " + e.RequestID
@@ -115,7 +133,6 @@
 	if !ok {
 		run = Run{
 			IdempotencyKey: e.IdempotencyKey,
-			RequestID:      e.RequestID,
 			Method:         e.Method,
 			Path:           e.Path,
 			BodyBytes:      e.BodyBytes,
@@ -123,15 +140,14 @@
 		s.order = s.order.Append(key)
 	}
 	run.Executions++
+	if len(run.RequestIDs) < maxRequestIDs {
+		run.RequestIDs = append(slices.Clone(run.RequestIDs), e.RequestID)
+	}
 	s.total++
 	s.runs = s.runs.Set(key, run)
 	if s.order.Len() > maxRuns {
 		s.runs = s.runs.Delete(s.order.Get(0))
 		s.order = s.order.Slice(1, s.order.Len())
 	}
-	status := s.status
-	if status == 0 {
-		status = 200
-	}
 	return s, []Answer{{Ticket: e.Ticket, Status: status, Run: run}}
 }
