Ask for smaller pages when a watch answer is too large to read

A page of 1,000 objects of up to 1 MB each can be above the client's bound of 64 MB. The client took that for a lost answer and asked for the same page again, so 65 large objects would have kept every node from being fresh.

--- a/io/plat/call.go
+++ b/io/plat/call.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	// maxAnswer bounds an answer: a page of objects of up to 1 MB each.
+	// maxAnswer bounds an answer. A page of objects may be above it; it is then
+	// asked for in smaller parts.
 	maxAnswer = 64 << 20
 	// maxTries bounds the tries of a call on idle connections that turn out to
 	// be closed.
@@ -50,6 +51,8 @@
 	client string
 	http   *http.Client
 	clock  Clock
+	// most bounds an answer in bytes.
+	most int64
 }
 
 type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
@@ -59,6 +62,7 @@
 		base:   base,
 		client: client,
 		clock:  clock,
+		most:   maxAnswer,
 		http: &http.Client{
 			Transport: &http.Transport{
 				DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -94,12 +98,12 @@
 		return a, err
 	}
 	defer func() { _ = in.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(in.Body, maxAnswer+1))
+	data, err := io.ReadAll(io.LimitReader(in.Body, c.most+1))
 	if err != nil {
 		return a, Lost.Wrap(err, "answer to %s %s was cut", r.method, r.path)
 	}
-	if len(data) > maxAnswer {
-		return a, Lost.New("answer to %s %s has more than %d bytes", r.method, r.path, maxAnswer)
+	if int64(len(data)) > c.most {
+		return a, Oversized.New("answer to %s %s has more than %d bytes", r.method, r.path, c.most)
 	}
 	a.status, a.body = in.StatusCode, data
 	if a.status >= http.StatusMultipleChoices {
--- a/io/plat/errors.go
+++ b/io/plat/errors.go
@@ -11,6 +11,8 @@
 	Unsent = Errors.NewType("unsent")
 	// Lost means that the call may have taken effect and its answer is unknown.
 	Lost = Errors.NewType("lost")
+	// Oversized means that the answer is too large to be read.
+	Oversized = Errors.NewType("oversized")
 	// Refused means that the platform answered that it did not execute the call.
 	Refused = Errors.NewType("refused")
 	// Conflict means that the object had another version, or the call an old
--- a/io/plat/watch.go
+++ b/io/plat/watch.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"caroblane/core/event"
 	"caroblane/core/model"
 )
@@ -15,7 +17,8 @@
 // watchTerm bounds the time from the end of a watch's wait to its answer.
 const watchTerm = 2 * time.Second
 
-// pageLimit bounds the objects of one watch answer.
+// pageLimit bounds the objects of one watch answer. Objects of the largest size
+// can still make it too large to read; the limit is lowered then.
 const pageLimit = 1_000
 
 // cursor is the progress of the watch. Changes are held back until they are
@@ -76,13 +79,17 @@
 // watch posts the changes of the configuration until the context ends.
 func (c *Client) watch(ctx context.Context) {
 	var at cursor
-	failures := 0
+	failures, limit := 0, pageLimit
 	for ctx.Err() == nil {
 		sentAt := c.clock.Now()
-		page, err := c.page(ctx, at.after, sentAt)
+		page, err := c.page(ctx, at.after, limit, sentAt)
 		if ctx.Err() != nil {
 			return
 		}
+		if errorx.IsOfType(err, Oversized) && limit > 1 {
+			limit /= 2
+			continue
+		}
 		if err != nil {
 			failures++
 			c.post(ctx, event.StoreFailed{})
@@ -90,6 +97,7 @@
 			continue
 		}
 		failures = 0
+		limit = min(pageLimit, limit+1)
 		var changed event.ConfigChanged
 		var complete bool
 		at, changed, complete = at.next(page, sentAt)
@@ -103,9 +111,9 @@
 	}
 }
 
-func (c *Client) page(ctx context.Context, after model.Version, sentAt time.Time) (wirePage, error) {
+func (c *Client) page(ctx context.Context, after model.Version, limit int, sentAt time.Time) (wirePage, error) {
 	path := fmt.Sprintf("/objects?after=%d&wait=%d&limit=%d&kinds=%s",
-		after, c.settings.WatchWait.Milliseconds(), pageLimit, configKinds())
+		after, c.settings.WatchWait.Milliseconds(), limit, configKinds())
 	a, err := c.caller.do(ctx, request{method: "GET", path: path, by: sentAt.Add(c.settings.WatchWait + watchTerm)})
 	if err != nil {
 		return wirePage{}, err
--- a/io/plat/watch_test.go
+++ b/io/plat/watch_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -159,12 +161,32 @@
 	}
 }
 
+// TestLargePages guards against objects of a large size that keep nodes from
+// reading any configuration at all.
+func TestLargePages(t *testing.T) {
+	state := store.NewState(store.DefaultLimits())
+	for i := range 20 {
+		state = state.Seed(store.Object{
+			Kind: "Model", Name: fmt.Sprint(i), Value: json.RawMessage(`{"MaxTokens":1}`), Nonce: strings.Repeat("n", 1000),
+		})
+	}
+	s := startStore(t, state)
+	b := make(inbox, 8)
+	c := New(DefaultSettings("http://"+s.Addr(), "n"), b, rand.New(rand.NewPCG(5, 5)), SystemClock{})
+	c.caller.most = 4_000
+	done := make(chan struct{})
+	start(t, func(ctx context.Context) { defer close(done); c.watch(ctx) }, done)
+	if changed := await[event.ConfigChanged](t, b); len(changed.Changes) != 20 || changed.Upto != 20 {
+		t.Errorf("%d changes up to %d", len(changed.Changes), changed.Upto)
+	}
+}
+
 // TestLostRevision guards against a store that has lost writes, or another
 // server, being taken for contact with the configuration.
 func TestLostRevision(t *testing.T) {
 	s := startStore(t, store.NewState(store.DefaultLimits()))
 	c, _ := startClient(t, DefaultSettings("http://"+s.Addr(), "n"))
-	if page, err := c.page(t.Context(), 5, time.Now()); !errorx.IsOfType(err, Lost) {
+	if page, err := c.page(t.Context(), 5, pageLimit, time.Now()); !errorx.IsOfType(err, Lost) {
 		t.Errorf("got %+v, %v", page, err)
 	}
 }
