--- a/fake/engine/stream.go
+++ b/fake/engine/stream.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 
 	"caroblane/fake/gate"
 	"caroblane/fake/serve"
@@ -31,7 +32,7 @@
 }
 
 // copy writes tokens as they come.
-func (s *stream) copy(w http.ResponseWriter, r *http.Request, call serve.Call[Effect]) {
+func (s *stream) copy(w http.ResponseWriter, r *http.Request, call *serve.Call[Effect]) {
 	s.head = []byte("id: " + s.id + "/" + s.try + "/")
 	s.middle = []byte(`data: {"id":` + strconv.Quote(s.id) + `,"object":"chat.completion.chunk","created":0,"model":` +
 		strconv.Quote(s.model) + `,"choices":[{"index":0,"delta":`)
@@ -63,24 +64,24 @@
 
 // await returns the next effect. A stream that has begun is cut where another
 // call would be answered.
-func (s *stream) await(w http.ResponseWriter, r *http.Request, call serve.Call[Effect]) (Effect, bool) {
+func (s *stream) await(w http.ResponseWriter, r *http.Request, call *serve.Call[Effect]) (Effect, bool) {
 	if !s.begun {
 		return s.engine.Await(w, r, call)
 	}
-	select {
-	case given := <-call.Answers:
-		if given.Action != gate.Pass {
-			panic(http.ErrAbortHandler)
-		}
-		return given.Inner, true
-	case <-r.Context().Done():
-		return nil, false
+	given, ok := call.Next(r.Context())
+	if ok && given.Action != gate.Pass {
+		panic(http.ErrAbortHandler)
 	}
+	return given.Inner, ok
 }
 
 // write writes the events of the tokens up to an offset. It reports false when
 // the caller has left.
 func (s *stream) write(w http.ResponseWriter, t Tokens) bool {
+	if !s.begun && t.Cut && t.Upto == t.From {
+		serve.Hangup(w)
+		return false
+	}
 	if !s.begun {
 		s.begun = true
 		s.at = t.From
@@ -155,12 +156,17 @@
 		`,"prompt_tokens_details":{"cached_tokens":` + strconv.Itoa(t.CachedTokens) + `}}`
 }
 
-// writeWhole writes the answer as one JSON object.
+// writeWhole writes the answer as one JSON object. A crossed or late one has
+// the headers of another request or attempt.
 func (s *stream) writeWhole(w http.ResponseWriter, t Tokens) {
 	if t.Cut {
 		serve.Hangup(w)
 		return
 	}
+	if id, attempt, ok := strings.Cut(t.Foreign, "/"); ok {
+		w.Header().Set(headerRequestID, id)
+		w.Header().Set(headerAttempt, attempt)
+	}
 	body := `{"id":` + strconv.Quote(s.id) + `,"object":"chat.completion","created":0,"model":` + strconv.Quote(s.model) +
 		`,"choices":[{"index":0,"message":{"role":"assistant","content":` + strconv.Quote(Text(s.seed, 0, t.Upto)) +
 		`},"finish_reason":"length"}],"usage":` + usage(t) + `}`
