--- a/cmd/caroblane/main.go
+++ b/cmd/caroblane/main.go
@@ -1,4 +1,4 @@
-// The caroblane command is the operators' command line.
+// Command caroblane is the operators' command line.
 package main
 
 import (
@@ -11,7 +11,7 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	code := cmds.Run(ctx, os.Args, cmds.System())
 	stop()
 	os.Exit(code)
