Serve callers with TLS and feed the control metrics

Certificate settings had no effect, so that a node with them served callers in plain text, and the counters of control events and effects stayed empty.

The caller listener uses io/certs where a certificate is set; a fault of changed files is shown in the status. Events are counted where executors and traffic post them, effects where they are handed out; timer events are not counted. The control queue's length is a gauge.

go test -race ./io/entry passes; no figures were measured.

--- a/io/admin/status.go
+++ b/io/admin/status.go
@@ -26,6 +26,9 @@
 	// Faults maps Kind/Name of each object whose last write is not in force to
 	// the reason.
 	Faults map[string]string
+	// CertificateFault tells why the last change of the certificate files is not
+	// in use. It is empty without a fault.
+	CertificateFault string `json:",omitempty"`
 	// Members are the other nodes of the roster as this node sees them.
 	Members []Member
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -25,6 +25,7 @@
 	"caroblane/core/node"
 	"caroblane/core/peers"
 	"caroblane/io/admin"
+	"caroblane/io/certs"
 	"caroblane/io/desk"
 	"caroblane/io/front"
 	"caroblane/io/loop"
@@ -65,6 +66,8 @@
 	platform    *plat.Client
 	relay       *relay.Client
 	front       *front.Server
+	// certificate is nil where callers use plain text.
+	certificate *certs.Callers
 	// drained gets a value when an operator asks for a drain.
 	drained chan struct{}
 	done    chan struct{}
@@ -124,14 +127,18 @@
 	initial := node.New(peers.New(), limit.New(), claim.New(claim.DefaultSettings(), incarnation))
 	n.loop = loop.New[node.State, event.Event, effect.Effect](
 		initial, all, event.Tick{}, settings.Limits.QueueCapacity, random(), clock.Now)
+	n.meter = meter.New(n.reading)
+	posts := counted{control{n.loop}, n.meter}
 	n.platform = plat.New(
 		plat.DefaultSettings("http://"+settings.Platform.Address.String(), string(settings.Node.Name)),
-		n.loop, random(), clock)
-	n.meter = meter.New(n.reading)
-	*all = executors{replies{replyDesk}, n.meter, n.platform}
+		posts, random(), clock)
+	*all = executors{replies{replyDesk}, n.meter, counter{n.meter}, n.platform}
 	n.relay = relay.New(relay.Dialer())
 	var err error
-	n.front, err = front.New(control{n.loop}, replyDesk, n.relay, observer{n.meter}, front.Options{
+	if n.certificate, err = callerCertificate(settings.TLS, clock.Now); err != nil {
+		return nil, err
+	}
+	n.front, err = front.New(posts, replyDesk, n.relay, observer{n.meter}, front.Options{
 		MaxBody:       int64(settings.Limits.MaxBody),
 		AdmitWithin:   settings.Limits.AdmitWithin,
 		RequestWithin: settings.Limits.RequestWithin,
@@ -159,7 +166,7 @@
 	go func() { administered <- admin.Serve(control, n.listeners.Admin, n.admin()) }()
 	callers := n.server(n.front)
 	ended := make(chan error, 1)
-	go func() { ended <- callers.Serve(n.listeners.Callers) }()
+	go func() { ended <- n.serveCallers(callers) }()
 	n.log.Info().Str("Callers", n.listeners.Callers.Addr().String()).Msg("node started")
 	var failure error
 	select {
@@ -218,16 +225,21 @@
 
 func (n *Node) status() admin.Status {
 	state := n.loop.Snapshot()
+	certificateFault := ""
+	if n.certificate != nil {
+		certificateFault = n.certificate.Fault()
+	}
 	return admin.Status{
-		Node:         n.settings.Node.Name,
-		Incarnation:  n.incarnation,
-		Region:       n.settings.Node.Region,
-		Zone:         n.settings.Node.Zone,
-		Version:      state.Conf().Version(),
-		Fresh:        state.Peers().Fresh(n.clock.Now()),
-		Draining:     state.Flow().Draining(),
-		OpenRequests: state.Flow().Open(),
-		Faults:       state.Conf().Faults(),
+		CertificateFault: certificateFault,
+		Node:             n.settings.Node.Name,
+		Incarnation:      n.incarnation,
+		Region:           n.settings.Node.Region,
+		Zone:             n.settings.Node.Zone,
+		Version:          state.Conf().Version(),
+		Fresh:            state.Peers().Fresh(n.clock.Now()),
+		Draining:         state.Flow().Draining(),
+		OpenRequests:     state.Flow().Open(),
+		Faults:           state.Conf().Faults(),
 	}
 }
 
@@ -237,6 +249,7 @@
 		Version: state.Conf().Version(),
 		Fresh:   state.Peers().Fresh(n.clock.Now()),
 		Open:    state.Flow().Open(),
+		Queued:  n.loop.Queued(),
 		Faults:  len(state.Conf().Faults()),
 	}
 }
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -88,6 +88,9 @@
 	}
 }
 
+// Queued returns the number of events that wait.
+func (l *Loop[S, E, F]) Queued() int { return len(l.queue) }
+
 // Run applies events until the context ends.
 func (l *Loop[S, E, F]) Run(ctx context.Context) {
 	defer close(l.done)
