Keep commas within the values of template edit

The command takes whole values, and reads the models if the list changes. A script sets a list of two; a bad input names a missing model (exit code 4).

--- a/io/cmds/objects.go
+++ b/io/cmds/objects.go
@@ -243,9 +243,9 @@
 }
 
 // missing returns an error if a value names an object that does not exist.
-func missing(o ref, value any, exists func(ref) bool) error {
+func missing(o ref, value any, held objects) error {
 	for _, r := range references(value) {
-		if !exists(r) {
+		if _, ok := held.get(r); !ok {
 			return NotFound.New("%s names %s, which does not exist", o, r)
 		}
 	}
--- a/io/cmds/plan.go
+++ b/io/cmds/plan.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -68,11 +69,7 @@
 			if err := (seenVersion{o.conditional, o.version}).check(o.ref, old); err != nil {
 				return nil, err
 			}
-			err := missing(o.ref, o.value, func(r ref) bool {
-				_, ok := held.get(r)
-				return ok
-			})
-			if err != nil {
+			if err := missing(o.ref, o.value, held); err != nil {
 				return nil, err
 			}
 			return []write{{
@@ -104,6 +101,31 @@
 	}
 }
 
+// planEdit sets fields of a template given as Field=Value. Models are read only
+// if the list of models changes.
+func planEdit(r ref, seen seenVersion, settings []string) (plan, error) {
+	fields, err := parseSettings(settings)
+	if err != nil {
+		return plan{}, err
+	}
+	p := planChange(r, seen, fields.edited)
+	if _, ok := fields["Models"]; !ok {
+		return p, nil
+	}
+	p.kinds = []model.Kind{model.KindModel}
+	change := p.decide
+	p.decide = func(held objects) ([]write, error) {
+		writes, err := change(held)
+		for _, w := range writes {
+			if err := missing(w.ref, w.value, held); err != nil {
+				return nil, err
+			}
+		}
+		return writes, err
+	}
+	return p, nil
+}
+
 // planDeleteTemplate deletes a template. Active keys of the account would stop
 // working, so they are withdrawn first unless force is set.
 func planDeleteTemplate(name string, seen seenVersion, force bool) plan {
@@ -175,37 +197,41 @@
 	return upstream, nil
 }
 
-// edited returns a change that sets fields given as Field=Value.
-func edited(settings []string) (func(object) (any, error), error) {
-	fields := map[string]json.RawMessage{}
+// fields are values by the names of their fields.
+type fields map[string]json.RawMessage
+
+// parseSettings reads fields given as Field=Value.
+func parseSettings(settings []string) (fields, error) {
+	all := fields{}
 	for _, setting := range settings {
 		field, value, ok := strings.Cut(setting, "=")
 		if !ok || field == "" {
 			return nil, Usage.New("flag --set has value %q; accepted: Field=Value", setting)
 		}
-		if _, twice := fields[field]; twice {
+		if _, twice := all[field]; twice {
 			return nil, Usage.New("flag --set names field %s twice", field)
 		}
-		fields[field] = jsonOf(field, value)
+		all[field] = jsonOf(field, value)
 	}
-	return func(o object) (any, error) {
-		merged := map[string]json.RawMessage{}
-		if err := json.Unmarshal(o.raw, &merged); err != nil {
-			return nil, Failed.New("%s cannot be read: %v", o.ref, err)
-		}
-		for field, value := range fields {
-			merged[field] = value
-		}
-		data, err := json.Marshal(merged)
-		if err != nil {
-			return nil, Failed.New("%s cannot be encoded: %v", o.ref, err)
-		}
-		value, err := decode(o.ref, data)
-		if err != nil {
-			return nil, Usage.New("%s: %s", o.ref, text(err))
-		}
-		return value, nil
-	}, nil
+	return all, nil
+}
+
+// edited returns the value of an object with the fields set.
+func (f fields) edited(o object) (any, error) {
+	merged := fields{}
+	if err := json.Unmarshal(o.raw, &merged); err != nil {
+		return nil, Failed.New("%s cannot be read: %v", o.ref, err)
+	}
+	maps.Copy(merged, f)
+	data, err := json.Marshal(merged)
+	if err != nil {
+		return nil, Failed.New("%s cannot be encoded: %v", o.ref, err)
+	}
+	value, err := decode(o.ref, data)
+	if err != nil {
+		return nil, Usage.New("%s: %s", o.ref, text(err))
+	}
+	return value, nil
 }
 
 // listFields take names separated by commas on the command line.
--- a/io/cmds/run.go
+++ b/io/cmds/run.go
@@ -75,7 +75,9 @@
 	offline bool
 	// byNode commands need no platform if nodes are named with --admin.
 	byNode bool
-	action func(ctx context.Context, cmd *cli.Command, args []string) error
+	// wholeValues keeps commas within the values of repeated flags.
+	wholeValues bool
+	action      func(ctx context.Context, cmd *cli.Command, args []string) error
 }
 
 func (r *runner) root() *cli.Command {
@@ -148,7 +150,7 @@
 	}
 	return &cli.Command{
 		Name: s.name, Usage: s.usage, ArgsUsage: s.args, Flags: s.flags, Description: description,
-		HideHelpCommand: true, OnUsageError: usageError,
+		HideHelpCommand: true, OnUsageError: usageError, DisableSliceFlagSeparator: s.wholeValues,
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			args := cmd.Args().Slice()
 			if err := checkArgs(cmd.FullName(), s.args, args); err != nil {
--- a/io/cmds/run_test.go
+++ b/io/cmds/run_test.go
@@ -40,6 +40,7 @@
 		"edit without value":    {[]string{"template", "edit", "acme", "--set", "Rate"}, "", 2, "Field=Value"},
 		"edit twice":            {[]string{"template", "edit", "acme", "--set", "Rate=1", "--set", "Rate=2"}, "", 2, "Rate twice"},
 		"edit unknown field":    {[]string{"template", "edit", "acme", "--set", "rate=1"}, "", 2, "rate"},
+		"edit names nobody":     {[]string{"template", "edit", "acme", "--set", "Models=x,y"}, "", 4, "Model/x, which does not exist"},
 		"edit other type":       {[]string{"template", "edit", "acme", "--set", "Rate=fast"}, "", 2, "Rate"},
 		"edit out of range":     {[]string{"template", "edit", "acme", "--set", "CheapShare=2"}, "", 2, "accepted: 0 to 1"},
 		"edit at old version":   {[]string{"template", "edit", "acme", "--set", "Rate=1", "--if-version", "99"}, "", 3, "version 1, not 99"},
--- a/io/cmds/template.go
+++ b/io/cmds/template.go
@@ -46,7 +46,7 @@
 
 func (r *runner) templateEdit() *cli.Command {
 	return r.leaf(spec{
-		name: "edit", usage: "change fields of a template", args: "NAME",
+		name: "edit", usage: "change fields of a template", args: "NAME", wholeValues: true,
 		about: "The other fields keep their values. If somebody else changes the template meanwhile, the command reports\n" +
 			"a conflict and changes nothing. Fields: Models (names separated by commas), Priority, Rate, Burst, CheapShare.",
 		example: "caroblane template edit acme --set Rate=50 --set Burst=100",
@@ -59,11 +59,11 @@
 			if len(settings) == 0 {
 				return Usage.New("flag --set is missing; accepted: Field=Value")
 			}
-			change, err := edited(settings)
+			p, err := planEdit(ref{model.KindTemplate, args[0]}, seenOf(cmd), settings)
 			if err != nil {
 				return err
 			}
-			return r.change(ctx, planChange(ref{model.KindTemplate, args[0]}, seenOf(cmd), change))
+			return r.change(ctx, p)
 		},
 	})
 }
