--- a/core/event/peers.go
+++ b/core/event/peers.go
@@ -26,7 +26,9 @@
 
 // ExchangeAnswered reports a peer's answer to effect.Exchange.
 type ExchangeAnswered struct {
-	Peer model.NodeName
+	// Peer is the member that was asked. Another process may have answered at
+	// its address, as Status tells.
+	Peer model.Member
 	// SentAt was read before the call was sent.
 	SentAt time.Time
 	Status model.PeerStatus
@@ -42,7 +44,7 @@
 
 // ExchangeFailed reports an exchange without an answer.
 type ExchangeFailed struct {
-	Peer   model.NodeName
+	Peer   model.Member
 	SentAt time.Time
 	// Refused tells that the peer's VM refused the connection: no process
 	// listens at the address.
@@ -51,7 +53,7 @@
 
 // FetchAnswered reports a peer's answer to effect.Fetch.
 type FetchAnswered struct {
-	Peer model.NodeName
+	Peer model.Member
 	// After repeats the version that the changes were asked from.
 	After   model.Version
 	Changes []model.Change
@@ -76,7 +78,7 @@
 }
 
 // FetchFailed reports a fetch without an answer.
-type FetchFailed struct{ Peer model.NodeName }
+type FetchFailed struct{ Peer model.Member }
 
 // FetchWanted is raised when a peer has newer configuration than this node.
 type FetchWanted struct{ Peer model.Member }
