--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -11,6 +11,7 @@
 	"caroblane/core/conf"
 	"caroblane/core/effect"
 	"caroblane/core/event"
+	"caroblane/core/fair"
 	"caroblane/core/model"
 	"caroblane/core/step"
 )
@@ -28,6 +29,10 @@
 	Conf conf.State
 	// Fresh tells that this node may admit requests.
 	Fresh bool
+	// Draw is a random number for this event.
+	Draw uint64
+	// At is the time of this event.
+	At time.Time
 }
 
 type phase int
@@ -35,6 +40,8 @@
 const (
 	admitting phase = iota
 	claiming
+	// waiting for an upstream with a free slot.
+	waiting
 	running
 	recording
 )
@@ -47,10 +54,15 @@
 	phase    phase
 	// mustClaim marks a request that may not be repeated.
 	mustClaim bool
-	upstreams []model.UpstreamName
-	attempt   int
-	upstream  model.UpstreamName
-	tried     []model.UpstreamName
+	// services are the upstreams of the route of a plain request.
+	services []model.UpstreamName
+	attempt  int
+	upstream model.UpstreamName
+	tried    []model.UpstreamName
+	// mayHaveRun tells that an earlier attempt ended without an answer.
+	mayHaveRun bool
+	// resumed is the number of tokens that the caller had at the last resume.
+	resumed int
 }
 
 // State holds the open requests of this node.
@@ -59,6 +71,14 @@
 	open     *immutable.Map[model.Ticket, call]
 	// load counts this node's running attempts on each upstream.
 	load *immutable.Map[model.UpstreamName, int]
+	// fullUntil holds the upstreams that refused a request for lack of room.
+	fullUntil *immutable.Map[model.UpstreamName, time.Time]
+	// queue holds the requests in the phase waiting.
+	queue fair.Queue[model.AccountName, model.Ticket]
+	// deadlines orders the same requests by when they are refused.
+	deadlines *immutable.SortedMap[deadline, struct{}]
+	// serveAt is when the queue is looked through again, zero if it is empty.
+	serveAt time.Time
 }
 
 // New returns a state without requests.
@@ -66,6 +86,10 @@
 	return State{
 		open: immutable.NewMap[model.Ticket, call](ticketHasher{}),
 		load: immutable.NewMap[model.UpstreamName, int](nil),
+
+		fullUntil: immutable.NewMap[model.UpstreamName, time.Time](nil),
+		queue:     fair.New[model.AccountName, model.Ticket](ageTerm),
+		deadlines: immutable.NewSortedMap[deadline, struct{}](deadlineOrder{}),
 	}
 }
 
@@ -93,6 +117,10 @@
 		s.draining = true
 	case event.KeyChanged:
 		s = s.keyChanged(e, &out)
+	case event.Tick:
+		s = s.expired(facts, &out)
+	case event.UpstreamChanged:
+		s = s.served(facts, &out)
 	}
 	return s, out
 }
@@ -100,9 +128,6 @@
 // Draining tells whether the node takes no new requests.
 func (s State) Draining() bool { return s.draining }
 
-// Next returns the zero time: the limit part keeps the admission deadlines.
-func (s State) Next() time.Time { return time.Time{} }
-
 // Open returns the number of open requests.
 func (s State) Open() int { return s.open.Len() }
 
@@ -143,7 +168,7 @@
 			return c, model.UnknownRoute, false
 		}
 		c.mustClaim = !route.Repeatable
-		c.upstreams = route.Upstreams
+		c.services = route.Upstreams
 		open = route.Open
 	}
 	if !open {
@@ -156,7 +181,6 @@
 		if _, ok := facts.Conf.Model(request.Model); !ok {
 			return c, model.UnknownModel, false
 		}
-		c.upstreams = facts.Conf.UpstreamsOf(request.Model)
 	}
 	if c.mustClaim && request.IdempotencyKey == "" {
 		return c, model.MissingIdempotencyKey, false
@@ -180,7 +204,7 @@
 	if !ok {
 		return model.KeyUnknown, false
 	}
-	if request.Kind == model.RequestChat && !allows(template, request.Model) {
+	if request.Kind == model.RequestChat && !template.Allows(request.Model) {
 		return model.ModelNotAllowed, false
 	}
 	c.account = key.Account
@@ -188,18 +212,6 @@
 	return 0, true
 }
 
-func allows(template model.Template, name model.ModelName) bool {
-	if len(template.Models) == 0 {
-		return true
-	}
-	for _, m := range template.Models {
-		if m == name {
-			return true
-		}
-	}
-	return false
-}
-
 func (s State) granted(ticket model.Ticket, facts Facts, out *Out) State {
 	c, ok := s.open.Get(ticket)
 	if !ok {
@@ -220,21 +232,25 @@
 	return s
 }
 
-// dispatched sends the request to the upstream with the least load of this
-// node that was not tried yet.
+// dispatched sends the request to an upstream that was not tried yet.
 func (s State) dispatched(ticket model.Ticket, facts Facts, out *Out) State {
 	c, ok := s.open.Get(ticket)
 	if !ok {
 		return s
 	}
-	upstream, ok := s.place(c, facts.Conf)
+	upstream, ok := s.place(c, facts)
 	if !ok {
-		return s.failed(ticket, c, refusal(model.NoUpstream, model.NotRun, 1), out)
+		return s.queued(ticket, c, facts, out)
 	}
+	c.tried = append(c.tried[:len(c.tried):len(c.tried)], upstream.Name)
+	return s.sent(ticket, c, upstream, out)
+}
+
+// sent starts the next attempt of a request at an upstream.
+func (s State) sent(ticket model.Ticket, c call, upstream model.Upstream, out *Out) State {
 	c.phase = running
 	c.attempt++
 	c.upstream = upstream.Name
-	c.tried = append(c.tried[:len(c.tried):len(c.tried)], upstream.Name)
 	s.open = s.open.Set(ticket, c)
 	s = s.withLoad(upstream.Name, 1)
 	out.Emit(effect.Dispatch{
@@ -247,45 +263,34 @@
 	return s
 }
 
-func (s State) place(c call, config conf.State) (model.Upstream, bool) {
-	var best model.Upstream
-	bestLoad, found := 0, false
-	for _, name := range c.upstreams {
-		upstream, ok := config.Upstream(name)
-		if !ok || upstream.State != model.UpstreamActive || c.hasTried(name) {
-			continue
-		}
-		load, _ := s.load.Get(name)
-		if !found || load*best.Slots < bestLoad*upstream.Slots {
-			best, bestLoad, found = upstream, load, true
-		}
-	}
-	return best, found
-}
-
-func (c call) hasTried(name model.UpstreamName) bool {
-	for _, t := range c.tried {
-		if t == name {
-			return true
-		}
-	}
-	return false
-}
-
 func (s State) attemptEnded(e event.AttemptEnded, facts Facts, out *Out) State {
 	c, ok := s.open.Get(e.Ticket)
 	if !ok || c.phase != running || e.Attempt != c.attempt {
 		return s
 	}
 	s = s.withLoad(c.upstream, -1)
+	if e.Outcome == model.Rejected {
+		s.fullUntil = s.fullUntil.Set(c.upstream, facts.At.Add(fullTerm))
+	}
+	s = s.ended(e, c, facts, out)
+	return s.served(facts, out)
+}
+
+// ended decides what follows the end of an attempt.
+func (s State) ended(e event.AttemptEnded, c call, facts Facts, out *Out) State {
+	c.mayHaveRun = c.mayHaveRun || e.Outcome == model.Broken || e.Outcome == model.CallerLeft
+	s.open = s.open.Set(e.Ticket, c)
 	if e.Outcome == model.Completed {
 		return s.completed(e, c, out)
 	}
 	if e.Outcome == model.CallerLeft {
 		return s.failed(e.Ticket, c, refusal(model.UpstreamLost, model.OutcomeUnknown, 0), out)
 	}
+	if c.resumed > 0 || e.TokensPassed > 0 {
+		return s.resume(e, c, facts, out)
+	}
 	notRun := e.Outcome == model.NotSent || e.Outcome == model.Rejected
-	mayRepeat := notRun || (!c.mustClaim && e.TokensPassed == 0)
+	mayRepeat := notRun || !c.mustClaim
 	if mayRepeat && c.attempt < maxAttempts {
 		out.Emit(effect.CountRetry{Reason: retryReason(e.Outcome)})
 		return s.dispatched(e.Ticket, facts, out)
@@ -296,6 +301,19 @@
 	return s.failed(e.Ticket, c, refusal(model.UpstreamLost, model.OutcomeUnknown, 0), out)
 }
 
+// resume continues a stream of which the caller has a part. Only the engine
+// that generated it holds the tokens, so no other one is tried.
+func (s State) resume(e event.AttemptEnded, c call, facts Facts, out *Out) State {
+	upstream, ok := facts.Conf.Upstream(c.upstream)
+	mayResume := ok && !c.mustClaim && c.request.Stream && !e.Crashed && e.Outcome != model.Rejected && c.attempt < maxAttempts
+	if !mayResume {
+		return s.failed(e.Ticket, c, refusal(model.StreamTruncated, model.OutcomeUnknown, 0), out)
+	}
+	c.resumed = e.TokensPassed
+	out.Emit(effect.CountRetry{Reason: model.RetryResumed})
+	return s.sent(e.Ticket, c, upstream, out)
+}
+
 func (s State) completed(e event.AttemptEnded, c call, out *Out) State {
 	if !c.mustClaim {
 		return s.finished(e.Ticket, out)
@@ -306,8 +324,12 @@
 	return s
 }
 
-// failed ends a request that may hold a claim.
+// failed ends a request that may hold a claim. After an attempt without an
+// answer the outcome stays unknown, whatever became of later ones.
 func (s State) failed(ticket model.Ticket, c call, r model.Refusal, out *Out) State {
+	if c.mayHaveRun {
+		r = refusal(r.Reason, model.OutcomeUnknown, r.RetryAfterSeconds)
+	}
 	if c.mustClaim {
 		out.Raise(event.ClaimEnded{Ticket: ticket, NotRun: r.Execution == model.NotRun})
 	}
@@ -350,13 +372,23 @@
 
 func (s State) callerGone(ticket model.Ticket, out *Out) State {
 	c, ok := s.open.Get(ticket)
-	if !ok || c.phase != admitting {
+	if !ok {
+		return s
+	}
+	switch c.phase {
+	case admitting:
+		out.Raise(event.AdmissionDropped{Ticket: ticket})
+		return s.finished(ticket, out)
+	case waiting:
+		s = s.unqueued(ticket, c)
+		if c.mustClaim {
+			out.Raise(event.ClaimEnded{Ticket: ticket, NotRun: true})
+		}
+		return s.finished(ticket, out)
+	default:
 		// A running attempt reports its own end.
 		return s
 	}
-	out.Raise(event.AdmissionDropped{Ticket: ticket})
-	s.open = s.open.Delete(ticket)
-	return s
 }
 
 // keyChanged ends the open requests of a key that is no longer active.
@@ -377,6 +409,7 @@
 			continue
 		}
 		out.Raise(event.AdmissionDropped{Ticket: ticket})
+		s = s.unqueued(ticket, c)
 		s = s.failed(ticket, c, refusal(model.KeyWasWithdrawn, model.NotRun, 0), out)
 	}
 	return s
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -43,6 +43,9 @@
 		s, out = s.fold(next)
 		effects = append(effects, out.Effects...)
 		pending = append(pending, out.Raised...)
+		if len(pending) == 0 && s.flow.Draining() && s.flow.Open() == 0 && !s.peers.Leaving() {
+			pending = append(pending, event.LeaveAsked{})
+		}
 	}
 	return s, effects
 }
@@ -76,7 +79,7 @@
 	collect()
 	s.claim, out = s.claim.Apply(in)
 	collect()
-	s.flow, out = s.flow.Apply(in, flow.Facts{Conf: s.conf, Fresh: s.peers.Fresh(in.At)})
+	s.flow, out = s.flow.Apply(in, flow.Facts{Conf: s.conf, Fresh: s.peers.Fresh(in.At), Draw: in.Draw, At: in.At})
 	collect()
 	return s, all
 }
--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -64,7 +64,10 @@
 	fetchAt time.Time
 	// authority tells that this node holds the region's control lease.
 	authority bool
-	leaving   bool
+	// leaving tells that this process admits nothing any more, departed that
+	// the roster no longer lists it.
+	leaving  bool
+	departed bool
 	// due is when the part needs a timer event.
 	due time.Time
 }
@@ -138,6 +141,7 @@
 	s = s.withSettled(now, &out)
 	s = s.exchangeDue(now, &out)
 	s = s.writeDue(in, &out)
+	s = s.withDeparture(&out)
 	s = s.withFreshness(now, &out)
 	s.due = s.nextDue(now)
 	return s, out
@@ -148,8 +152,8 @@
 	return !s.leaving && (at.Before(s.freshUntil) || at.Before(s.outageUntil))
 }
 
-// Left tells that the roster no longer lists this process, which is leaving.
-func (s State) Left() bool { return s.leaving && !s.roster.lists(s.self) }
+// Leaving tells that this process has stopped admitting for good.
+func (s State) Leaving() bool { return s.leaving }
 
 // Low returns the settled version: no fresh member uses a lower one.
 func (s State) Low() model.Version { return s.settle.low }
--- a/core/peers/roster.go
+++ b/core/peers/roster.go
@@ -178,6 +178,16 @@
 	return wanted
 }
 
+// withDeparture tells once that the store's roster no longer lists this process
+// on its way out.
+func (s State) withDeparture(out *Out) State {
+	if s.leaving && !s.departed && !contains(s.roster.baseValue.Members, s.self.Incarnation) {
+		s.departed = true
+		out.Emit(effect.Departed{})
+	}
+	return s
+}
+
 // silent returns the members to evict. A node that hears none of several others
 // is more likely cut off itself, and evicts only those whose end is proved.
 func (s State) silent(now time.Time) []model.Member {
