Test the link between nodes against faults

Tables of named cases check that every field crosses, that only a refused connection counts as refused (cut, slow, half an answer and a listener that does not accept count as silence), that SentAt is read before the call, and that duplicates, other incarnations and calls over the bound are told apart.

--- /dev/null
+++ b/io/link/link_test.go
@@ -0,0 +1,386 @@
+package link
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"caroblane/core/effect"
+	"caroblane/core/event"
+	"caroblane/core/model"
+	"caroblane/io/desk"
+)
+
+// posts hands posted events to the test.
+type posts chan event.Event
+
+func (p posts) Post(ctx context.Context, e event.Event) error {
+	select {
+	case p <- e:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// peer is a listening node whose control loop is the answer function.
+type peer struct {
+	member model.Member
+	desk   *desk.Desk
+	answer func(event.Event) effect.Reply
+	asked  chan event.Event
+}
+
+func (p *peer) Post(_ context.Context, e event.Event) error {
+	p.asked <- e
+	if reply := p.answer(e); reply != nil {
+		p.desk.Deliver(reply)
+	}
+	return nil
+}
+
+func newPeer(t *testing.T, answer func(event.Event) effect.Reply) (*peer, *httptest.Server) {
+	t.Helper()
+	server := httptest.NewUnstartedServer(nil)
+	p := &peer{
+		member: model.Member{Name: "b", Address: server.Listener.Addr().String(), Incarnation: 7},
+		desk:   desk.New(), answer: answer, asked: make(chan event.Event, 64),
+	}
+	server.Config.Handler = NewHandler(p.member, p, p.desk)
+	server.Start()
+	t.Cleanup(server.Close)
+	return p, server
+}
+
+// newClient returns a running client and the events that it posts.
+func newClient(t *testing.T, transport http.RoundTripper, members ...model.Member) (*Client, posts) {
+	t.Helper()
+	posted := make(posts, 64)
+	now := time.Unix(1000, 0)
+	client := New(Options{
+		Self: model.Member{Name: "a", Incarnation: 3}, Scheme: "http", HTTP: &http.Client{Transport: transport},
+		Find: func(name model.NodeName) (model.Member, bool) {
+			for _, member := range members {
+				if member.Name == name {
+					return member, true
+				}
+			}
+			return model.Member{}, false
+		},
+		// Each reading is a second later, so that a test can tell them apart.
+		Now: func() func() time.Time {
+			var n atomic.Int64
+			return func() time.Time { return now.Add(time.Duration(n.Add(1)) * time.Second) }
+		}(),
+	}, posted)
+	ctx, cancel := context.WithCancel(t.Context())
+	go client.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		<-client.Done()
+	})
+	return client, posted
+}
+
+func next(t *testing.T, posted posts) event.Event {
+	t.Helper()
+	select {
+	case e := <-posted:
+		return e
+	case <-time.After(10 * time.Second):
+		t.Fatal("no event was posted")
+		return nil
+	}
+}
+
+// reply answers as a control loop would.
+func reply(e event.Event) effect.Reply {
+	switch e := e.(type) {
+	case event.ExchangeAsked:
+		return effect.ExchangeReply{
+			Ticket: e.Ticket, Status: model.PeerStatus{
+				Region: "r", Name: "b", Incarnation: 7, Version: 9, Low: 8, Remaining: 1500 * time.Millisecond, Contact: true, Left: true,
+			},
+			Counts: []model.CrashCount{{Fingerprint: 1<<64 - 1, Count: 3}},
+		}
+	case event.FetchAsked:
+		return effect.FetchReply{Ticket: e.Ticket, Changes: changesOf(), Upto: 6, Clean: 9, Floor: 2}
+	case event.BorrowAsked:
+		return effect.Lend{Ticket: e.Ticket, Account: e.Account, Seq: e.Seq, Amount: model.Allowance{Rate: 1, Burst: 2, Level: 3}}
+	case event.PushArrived:
+		return effect.PushReply{Ticket: e.Ticket, Version: 12}
+	default:
+		return nil
+	}
+}
+
+func changesOf() []model.Change {
+	return []model.Change{
+		{Kind: model.KindModel, Name: "m", Version: 4, Generation: 2, Value: model.Model{MaxTokens: 5}},
+		{Kind: model.KindKey, Name: "k", Version: 5, Generation: 3, Deleted: true},
+		{Kind: model.KindRoute, Name: "x", Version: 6, Generation: 1, Fault: "field Prefix"},
+	}
+}
+
+// TestCalls guards against a field that is lost or changed between two nodes,
+// and against a SentAt from after the call.
+func TestCalls(t *testing.T) {
+	status := model.PeerStatus{Region: "r", Name: "a", Incarnation: 3, Version: 5, Remaining: time.Second, Contact: true}
+	b, _ := newPeer(t, reply)
+	client, posted := newClient(t, NewTransport(), b.member)
+	for name, c := range map[string]struct {
+		effect effect.Effect
+		asked  event.Event
+		posted event.Event
+	}{
+		"exchange": {
+			effect.Exchange{Peer: b.member, Status: status, Counts: []model.CrashCount{{Fingerprint: 2, Count: 1}}},
+			event.ExchangeAsked{Ticket: 1, Status: status, Counts: []model.CrashCount{{Fingerprint: 2, Count: 1}}},
+			event.ExchangeAnswered{
+				Peer: b.member, Status: reply(event.ExchangeAsked{}).(effect.ExchangeReply).Status,
+				Counts: []model.CrashCount{{Fingerprint: 1<<64 - 1, Count: 3}},
+			},
+		},
+		"fetch": {
+			effect.Fetch{Peer: b.member, After: 3, Clean: 2},
+			event.FetchAsked{After: 3, Clean: 2},
+			event.FetchAnswered{Peer: b.member, After: 3, Changes: changesOf(), Upto: 6, Clean: 9, Floor: 2},
+		},
+		"borrow": {
+			effect.Borrow{Peer: "b", Account: "acct", Seq: 4, Want: model.Allowance{Rate: 5, Burst: 6, Level: 7}},
+			event.BorrowAsked{
+				From: "a", FromIncarnation: 3, Account: "acct", Seq: 4, Want: model.Allowance{Rate: 5, Burst: 6, Level: 7},
+			},
+			event.BorrowAnswered{Peer: "b", Account: "acct", Seq: 4, Amount: model.Allowance{Rate: 1, Burst: 2, Level: 3}},
+		},
+		"push": {
+			effect.Push{Peer: b.member, Changes: changesOf(), After: 3, Upto: 6},
+			event.PushArrived{Changes: changesOf(), After: 3, Upto: 6},
+			nil,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client.Execute(t.Context(), c.effect)
+			ignoreTicket := cmp.FilterPath(func(p cmp.Path) bool { return p.Last().String() == ".Ticket" }, cmp.Ignore())
+			if diff := cmp.Diff(c.asked, <-b.asked, ignoreTicket); diff != "" {
+				t.Errorf("event at the peer (-want +got):\n%s", diff)
+			}
+			if c.posted == nil {
+				return
+			}
+			ignoreSent := cmp.FilterPath(func(p cmp.Path) bool { return p.Last().String() == ".SentAt" }, cmp.Ignore())
+			if diff := cmp.Diff(c.posted, next(t, posted), ignoreSent); diff != "" {
+				t.Errorf("event at the caller (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestFaults guards against a fault that is taken for another one: above all,
+// a silent peer for a stopped process.
+func TestFaults(t *testing.T) {
+	silent := func(event.Event) effect.Reply { return nil }
+	for name, c := range map[string]struct {
+		start   func(t *testing.T) model.Member
+		effect  func(model.Member) effect.Effect
+		refused bool
+		want    string
+	}{
+		"refused": {start: func(t *testing.T) model.Member {
+			b, server := newPeer(t, reply)
+			server.Close()
+			return b.member
+		}, refused: true},
+		"cut after accept": {start: func(t *testing.T) model.Member {
+			return listening(t, func(conn net.Conn) { _ = conn.Close() })
+		}},
+		"cut in the answer": {start: func(t *testing.T) model.Member {
+			return listening(t, func(conn net.Conn) {
+				_, _ = conn.Read(make([]byte, 4096))
+				_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\nContent-Length: 50\r\n\r\nxx"))
+				_ = conn.Close()
+			})
+		}},
+		"slow": {start: func(t *testing.T) model.Member {
+			b, _ := newPeer(t, silent)
+			return b.member
+		}},
+		"paused before accept": {start: func(t *testing.T) model.Member {
+			return listening(t, nil)
+		}},
+		"wrong incarnation": {
+			start: func(t *testing.T) model.Member {
+				b, _ := newPeer(t, reply)
+				b.member.Incarnation = 6
+				return b.member
+			},
+			effect: func(model.Member) effect.Effect { return effect.Borrow{Peer: "b", Account: "acct", Seq: 1} },
+			want:   "BorrowFailed",
+		},
+		"unknown lender": {
+			start:  func(*testing.T) model.Member { return model.Member{Name: "c", Address: "127.0.0.1:1"} },
+			effect: func(model.Member) effect.Effect { return effect.Borrow{Peer: "b", Account: "acct", Seq: 1} },
+			want:   "BorrowFailed",
+		},
+		"fetch refused": {
+			start: func(t *testing.T) model.Member {
+				b, server := newPeer(t, reply)
+				server.Close()
+				return b.member
+			},
+			effect: func(m model.Member) effect.Effect { return effect.Fetch{Peer: m} },
+			want:   "FetchFailed",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			member := c.start(t)
+			client, posted := newClient(t, NewTransport(), member)
+			if c.effect != nil {
+				client.Execute(t.Context(), c.effect(member))
+				if got := typeName(next(t, posted)); got != c.want {
+					t.Fatalf("got %s, want %s", got, c.want)
+				}
+				return
+			}
+			client.Execute(t.Context(), effect.Exchange{Peer: member})
+			failed, ok := next(t, posted).(event.ExchangeFailed)
+			if !ok || failed.Refused != c.refused || failed.Peer != member {
+				t.Fatalf("got %+v, want a failure with Refused %v", failed, c.refused)
+			}
+		})
+	}
+}
+
+// listening returns a member whose connections are handled by a function, or
+// never accepted.
+func listening(t *testing.T, handle func(net.Conn)) model.Member {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	if handle != nil {
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				handle(conn)
+			}
+		}()
+	}
+	return model.Member{Name: "b", Address: listener.Addr().String(), Incarnation: 7}
+}
+
+func typeName(e event.Event) string {
+	switch e.(type) {
+	case event.BorrowFailed:
+		return "BorrowFailed"
+	case event.FetchFailed:
+		return "FetchFailed"
+	default:
+		return "another event"
+	}
+}
+
+// TestBounds guards against calls that pile up at a silent peer, and against a
+// second exchange beside one that is open.
+func TestBounds(t *testing.T) {
+	b, _ := newPeer(t, func(event.Event) effect.Reply { return nil })
+	client, posted := newClient(t, NewTransport(), b.member)
+	client.Execute(t.Context(), effect.Exchange{Peer: b.member})
+	<-b.asked
+	client.Execute(t.Context(), effect.Exchange{Peer: b.member})
+	if failed, ok := next(t, posted).(event.ExchangeFailed); !ok || failed.Refused {
+		t.Fatalf("second exchange ended with %+v", failed)
+	}
+	for range maxCalls - 1 {
+		client.Execute(t.Context(), effect.Borrow{Peer: "b", Account: "acct"})
+		<-b.asked
+	}
+	client.Execute(t.Context(), effect.Borrow{Peer: "b", Account: "over", Seq: 99})
+	if failed, ok := next(t, posted).(event.BorrowFailed); !ok || failed.Seq != 99 {
+		t.Fatalf("call over the bound ended with %+v", failed)
+	}
+}
+
+// TestSentAt guards against a reading of the clock after the call was sent,
+// which would lengthen the freshness.
+func TestSentAt(t *testing.T) {
+	b, _ := newPeer(t, reply)
+	var atSend atomic.Int64
+	var client *Client
+	var posted posts
+	transport := roundTrip(func(request *http.Request) (*http.Response, error) {
+		atSend.Store(client.options.Now().UnixNano())
+		return NewTransport().RoundTrip(request)
+	})
+	client, posted = newClient(t, transport, b.member)
+	client.Execute(t.Context(), effect.Exchange{Peer: b.member})
+	answered := next(t, posted).(event.ExchangeAnswered)
+	if answered.SentAt.UnixNano() >= atSend.Load() {
+		t.Fatalf("SentAt %v is not before the call was sent at %v", answered.SentAt, time.Unix(0, atSend.Load()))
+	}
+}
+
+// TestDuplicates guards against replies that reach another call, when a call
+// arrives twice.
+func TestDuplicates(t *testing.T) {
+	b, _ := newPeer(t, reply)
+	twice := roundTrip(func(request *http.Request) (*http.Response, error) {
+		body, err := request.GetBody()
+		if err != nil {
+			return nil, err
+		}
+		again := request.Clone(request.Context())
+		again.Body = body
+		if response, err := NewTransport().RoundTrip(again); err == nil {
+			_ = response.Body.Close()
+		}
+		return NewTransport().RoundTrip(request)
+	})
+	client, posted := newClient(t, twice, b.member)
+	client.Execute(t.Context(), effect.Borrow{Peer: "b", Account: "acct", Seq: 5})
+	first, second := (<-b.asked).(event.BorrowAsked), (<-b.asked).(event.BorrowAsked)
+	if first.Ticket == second.Ticket || first.Seq != second.Seq {
+		t.Fatalf("asked %+v and %+v", first, second)
+	}
+	if answered, ok := next(t, posted).(event.BorrowAnswered); !ok || answered.Seq != 5 {
+		t.Fatalf("got %+v", answered)
+	}
+	if b.desk.Len() != 0 {
+		t.Fatalf("%d tickets are still open", b.desk.Len())
+	}
+}
+
+// TestUnknownKind guards against a version that rises past an object of a kind
+// that this process does not know.
+func TestUnknownKind(t *testing.T) {
+	wires, err := wireChanges(changesOf())
+	if err != nil {
+		t.Fatal(err)
+	}
+	wires[0].Kind = "Novelty"
+	if _, err := changes(wires); err == nil || !strings.Contains(err.Error(), "Novelty") {
+		t.Fatalf("got %v, want an error that names the kind", err)
+	}
+	wires[0].Kind, wires[0].Value = "Model", []byte(`{"Extra":1}`)
+	decoded, err := changes(wires)
+	if err != nil || decoded[0].Value != nil || !strings.Contains(decoded[0].Fault, "Extra") {
+		t.Fatalf("got %+v, %v, want the fault of the object", decoded, err)
+	}
+}
+
+type roundTrip func(*http.Request) (*http.Response, error)
+
+func (r roundTrip) RoundTrip(request *http.Request) (*http.Response, error) { return r(request) }
