--- a/io/admin/status.go
+++ b/io/admin/status.go
@@ -38,11 +38,12 @@
 	Name    model.NodeName
 	Address string
 	Zone    model.ZoneName
-	// Version is the last one that the member reported.
+	// Version is a lower bound of the one that the member uses.
 	Version model.Version
-	// Accounted tells that the member is heard from or proved stopped.
-	Accounted bool
-	// HeardAt is when it last answered; zero if it never did.
+	// Stopped tells that the member's process is proved or stated to have
+	// stopped.
+	Stopped bool
+	// HeardAt is when it was last heard; zero if it never was.
 	HeardAt time.Time `json:",omitzero"`
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -28,6 +28,7 @@
 	"caroblane/io/certs"
 	"caroblane/io/desk"
 	"caroblane/io/front"
+	"caroblane/io/link"
 	"caroblane/io/loop"
 	"caroblane/io/meter"
 	"caroblane/io/plat"
@@ -38,6 +39,9 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
+	// departTerm bounds the wait for the roster to drop a drained node. Without
+	// the store its peers count it as left by its own statement.
+	departTerm = 3 * time.Second
 )
 
 // Errors is the namespace of this layer's errors.
@@ -66,8 +70,13 @@
 	platform    *plat.Client
 	relay       *relay.Client
 	front       *front.Server
-	// certificate is nil where callers use plain text.
+	// certificate is nil where callers use plain text, and authority where
+	// peers do.
 	certificate *certs.Callers
+	authority   *certs.Peers
+	link        *link.Client
+	peers       http.Handler
+	departed    departure
 	// drained gets a value when an operator asks for a drain.
 	drained chan struct{}
 	done    chan struct{}
@@ -85,6 +94,9 @@
 // the effects of others.
 type executors []loop.Executor[effect.Effect]
 
+// departure tells the drain that the roster no longer lists this node.
+type departure chan struct{}
+
 // replies hands reply effects to the traffic goroutines.
 type replies struct{ desk *desk.Desk }
 
@@ -119,12 +131,19 @@
 		incarnation: incarnation,
 		log:         log,
 		clock:       clock,
+		departed:    make(departure, 1),
 		drained:     make(chan struct{}, 1),
 		done:        make(chan struct{}),
 	}
 	replyDesk := desk.New()
 	all := &executors{}
-	initial := node.New(peers.New(), limit.New(), claim.New(claim.DefaultSettings(), incarnation))
+	self := model.Member{
+		Name:        settings.Node.Name,
+		Address:     listeners.Peers.Addr().String(),
+		Zone:        settings.Node.Zone,
+		Incarnation: incarnation,
+	}
+	initial := node.New(peers.New(self, settings.Node.Region), limit.New(), claim.New(claim.DefaultSettings(), incarnation))
 	n.loop = loop.New[node.State, event.Event, effect.Effect](
 		initial, all, event.Tick{}, settings.Limits.QueueCapacity, random(), clock.Now)
 	n.meter = meter.New(n.reading)
@@ -132,9 +151,21 @@
 	n.platform = plat.New(
 		plat.DefaultSettings("http://"+settings.Platform.Address.String(), string(settings.Node.Name)),
 		posts, random(), clock)
-	*all = executors{replies{replyDesk}, n.meter, counter{n.meter}, n.platform}
-	n.relay = relay.New(relay.Dialer())
 	var err error
+	if n.authority, err = peerAuthority(settings.TLS, clock.Now); err != nil {
+		return nil, err
+	}
+	scheme, transport := peerTransport(n.authority)
+	n.link = link.New(link.Options{
+		Self:   self,
+		Scheme: scheme,
+		HTTP:   &http.Client{Transport: transport},
+		Find:   n.member,
+		Now:    clock.Now,
+	}, posts)
+	n.peers = link.NewHandler(self, posts, replyDesk)
+	*all = executors{replies{replyDesk}, n.meter, counter{n.meter}, n.platform, n.link, n.departed}
+	n.relay = relay.New(relay.Dialer())
 	if n.certificate, err = callerCertificate(settings.TLS, clock.Now); err != nil {
 		return nil, err
 	}
@@ -162,6 +193,9 @@
 	var running sync.WaitGroup
 	running.Go(func() { n.loop.Run(control) })
 	running.Go(func() { n.platform.Run(control) })
+	running.Go(func() { n.link.Run(control) })
+	peerServer := n.server(n.peers)
+	running.Go(func() { _ = n.servePeers(peerServer) })
 	administered := make(chan error, 1)
 	go func() { administered <- admin.Serve(control, n.listeners.Admin, n.admin()) }()
 	callers := n.server(n.front)
@@ -181,6 +215,9 @@
 		failure = n.drain(control, callers)
 	}
 	stop()
+	// The peer listener is the last one to close: a refused connection tells
+	// the peers that this process admits nothing any more.
+	_ = peerServer.Close()
 	running.Wait()
 	failure = cmp.Or(failure, <-administered)
 	n.relay.Close()
@@ -202,9 +239,26 @@
 		_ = callers.Close()
 		return Failed.Wrap(err, "requests were still open at the drain deadline")
 	}
+	ctx, cancel = context.WithTimeout(ctx, departTerm)
+	defer cancel()
+	select {
+	case <-n.departed:
+	case <-ctx.Done():
+		n.log.Warn().Msg("node left without an answer of the store")
+	}
 	return nil
 }
 
+// member returns the member of a name in the roster in force.
+func (n *Node) member(name model.NodeName) (model.Member, bool) {
+	for _, member := range n.loop.Snapshot().Conf().Roster().Members {
+		if member.Name == name {
+			return member, true
+		}
+	}
+	return model.Member{}, false
+}
+
 // admin returns the handler of the admin listener.
 func (n *Node) admin() http.Handler {
 	commands := admin.Commands{
@@ -224,22 +278,26 @@
 }
 
 func (n *Node) status() admin.Status {
-	state := n.loop.Snapshot()
-	certificateFault := ""
-	if n.certificate != nil {
-		certificateFault = n.certificate.Fault()
+	state, now := n.loop.Snapshot(), n.clock.Now()
+	members := []admin.Member{}
+	for _, v := range state.Peers().Others(now) {
+		members = append(members, admin.Member{
+			Name: v.Member.Name, Address: v.Member.Address, Zone: v.Member.Zone,
+			Version: v.Version, Stopped: v.Stopped, HeardAt: v.HeardAt,
+		})
 	}
 	return admin.Status{
-		CertificateFault: certificateFault,
+		CertificateFault: n.certificateFault(),
 		Node:             n.settings.Node.Name,
 		Incarnation:      n.incarnation,
 		Region:           n.settings.Node.Region,
 		Zone:             n.settings.Node.Zone,
 		Version:          state.Conf().Version(),
-		Fresh:            state.Peers().Fresh(n.clock.Now()),
+		Fresh:            state.Peers().Fresh(now),
 		Draining:         state.Flow().Draining(),
 		OpenRequests:     state.Flow().Open(),
 		Faults:           state.Conf().Faults(),
+		Members:          members,
 	}
 }
 
@@ -277,6 +335,17 @@
 	o.Execute(context.Background(), effect.CountRefusal{Reason: reason})
 }
 
+// Execute takes the end of the membership.
+func (d departure) Execute(_ context.Context, e effect.Effect) {
+	if _, ok := e.(effect.Departed); ok {
+		select {
+		case d <- struct{}{}:
+		default:
+			// The end is known already.
+		}
+	}
+}
+
 // Execute hands a reply to the holder of its ticket.
 func (r replies) Execute(_ context.Context, e effect.Effect) {
 	if reply, ok := e.(effect.Reply); ok {
