Push a withdrawn key to every node

While no node of a region reaches the platform but the operator's machine does, a withdrawal reached the nodes only with their next contact.

key withdraw pushes the change to the peer listener of every node of the rosters, with version and generation of the write, and names the nodes that did not get it. With TLS between nodes it takes the files of a certificate.

--- a/io/cmds/execute.go
+++ b/io/cmds/execute.go
@@ -18,6 +18,8 @@
 type result struct {
 	write
 	version model.Version
+	// generation is that of the object after the write.
+	generation uint64
 }
 
 // execute reads what a plan needs, lets it decide, validates every write and
@@ -46,7 +48,7 @@
 	var results []result
 	for i, w := range writes {
 		if w.unchanged {
-			results = append(results, result{w, w.ifVersion})
+			results = append(results, result{w, w.ifVersion, w.generation})
 			continue
 		}
 		nonce, err := r.random(nonceSize)
@@ -57,7 +59,7 @@
 		if err != nil {
 			return results, err
 		}
-		results = append(results, result{w, written.version})
+		results = append(results, result{w, written.version, written.generation})
 	}
 	return results, nil
 }
@@ -101,10 +103,14 @@
 // change carries out a plan and prints what it did.
 func (r *runner) change(ctx context.Context, p plan) error {
 	results, err := r.execute(ctx, p)
+	r.reportAll(results)
+	return err
+}
+
+func (r *runner) reportAll(results []result) {
 	for _, done := range results {
 		r.report(done)
 	}
-	return err
 }
 
 func (r *runner) report(done result) {
--- a/io/cmds/key.go
+++ b/io/cmds/key.go
@@ -73,14 +73,26 @@
 func (r *runner) keyWithdraw() *cli.Command {
 	return r.leaf(spec{
 		name: "withdraw", usage: "withdraw a key", args: "NAME",
-		about:   "NAME is the name of the key, never the key itself. The withdrawn key stays listed.",
+		about: "NAME is the name of the key, never the key itself. The withdrawn key stays listed. The withdrawal is also\n" +
+			"pushed to every node of the rosters, for those without contact with the platform. Nodes that did not get it\n" +
+			"are named on standard error; they learn of it from the platform or from another node.",
 		example: "caroblane key withdraw acme-desk-3",
-		flags:   []cli.Flag{seenFlag()},
+		flags:   append(peerFlags(), seenFlag()),
 		action: func(ctx context.Context, cmd *cli.Command, args []string) error {
 			if strings.HasPrefix(args[0], secretPrefix) {
 				return Usage.New("argument NAME is a key; accepted: the name of a key (see caroblane key list)")
 			}
-			return r.change(ctx, planChange(ref{model.KindKey, args[0]}, seenOf(cmd), withdrawn))
+			peers, err := peerClient(cmd, r.env.Now)
+			if err != nil {
+				return err
+			}
+			results, err := r.execute(ctx, planChange(ref{model.KindKey, args[0]}, seenOf(cmd), withdrawn))
+			r.reportAll(results)
+			if err != nil {
+				return err
+			}
+			r.push(ctx, peers, results)
+			return nil
 		},
 	})
 }
--- a/io/cmds/plan.go
+++ b/io/cmds/plan.go
@@ -17,8 +17,10 @@
 	ifVersion model.Version
 	// value is nil to delete the object.
 	value any
-	// unchanged marks an object that needs no request.
-	unchanged bool
+	// unchanged marks an object that needs no request, and generation is that of
+	// the object then.
+	unchanged  bool
+	generation uint64
 }
 
 // action names what a write does.
@@ -96,7 +98,10 @@
 			if err != nil {
 				return nil, err
 			}
-			return []write{{ref: r, ifVersion: old.version, value: value, unchanged: sameValue(old.value, value)}}, nil
+			return []write{{
+				ref: r, ifVersion: old.version, value: value,
+				unchanged: sameValue(old.value, value), generation: old.generation,
+			}}, nil
 		},
 	}
 }
--- a/io/cmds/run_test.go
+++ b/io/cmds/run_test.go
@@ -72,6 +72,10 @@
 		"key as its name":     {[]string{"key", "withdraw", canary}, "", 2, "argument NAME is a key"},
 		"key as a new name":   {[]string{"key", "create", "acme", "--name", canary}, "", 2, "--name"},
 		"key as a name":       {[]string{"template", "show", canary}, "", 4, "[redacted]"},
+		"half of peer TLS":    {[]string{"key", "withdraw", "k1", "--peer-key", "k.pem"}, "", 2, "all three or none"},
+		"no peer files": {
+			[]string{"key", "withdraw", "k1", "--peer-key", "k", "--peer-certificate", "c", "--peer-authority", "a"}, "", 2, "no such file",
+		},
 		"withdraw absent":     {[]string{"key", "withdraw", "k9"}, "", 4, "Key/k9 does not exist"},
 		"drain withdrawn":     {[]string{"upstream", "drain", "gone"}, "", 1, "is withdrawn"},
 		"escape sequence":     {[]string{"template", "show", "a\x1b[31m\nb"}, "", 4, "does not exist"},
--- a/io/entry/tls_test.go
+++ b/io/entry/tls_test.go
@@ -20,9 +20,10 @@
 	"caroblane/io/setup"
 )
 
-// TestCallerCertificate guards against certificate settings without effect,
-// HTTP/2 lost over TLS, and metrics that nothing feeds.
-func TestCallerCertificate(t *testing.T) {
+// TestCertificates guards against certificate settings without effect, HTTP/2
+// lost over TLS, a peer listener that is open to everybody, and metrics that
+// nothing feeds.
+func TestCertificates(t *testing.T) {
 	// The server of package httptest brings a certificate for 127.0.0.1.
 	lender := httptest.NewTLSServer(http.NotFoundHandler())
 	defer lender.Close()
@@ -41,6 +42,8 @@
 			t.Fatal(err)
 		}
 	}
+	settings.TLS.PeerCertificate, settings.TLS.PeerKey = settings.TLS.CallerCertificate, settings.TLS.CallerKey
+	settings.TLS.PeerAuthority = settings.TLS.CallerCertificate
 	var listeners entry.Listeners
 	for _, l := range []*net.Listener{&listeners.Callers, &listeners.Peers, &listeners.Admin} {
 		if *l, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
@@ -64,6 +67,10 @@
 	if response.ProtoMajor != 2 || response.StatusCode != http.StatusServiceUnavailable {
 		t.Errorf("%s %s", response.Proto, response.Status)
 	}
+	if response, err := client.Get("https://" + listeners.Peers.Addr().String() + "/"); err == nil {
+		_ = response.Body.Close()
+		t.Errorf("the peer listener accepts a client without a certificate: %s", response.Status)
+	}
 	response, err = http.Get("http://" + listeners.Admin.Addr().String() + "/metrics")
 	if err != nil {
 		t.Fatal(err)
