--- a/core/effect/peers.go
+++ b/core/effect/peers.go
@@ -2,6 +2,10 @@
 
 import "caroblane/core/model"
 
+// Departed tells the assembly that the roster no longer lists this process, so
+// that it may exit.
+type Departed struct{}
+
 // Exchange sends a heartbeat to a peer. The answer is event.ExchangeAnswered or
 // event.ExchangeFailed.
 type Exchange struct {
@@ -66,6 +70,7 @@
 // To returns the ticket.
 func (e PushReply) To() model.Ticket { return e.Ticket }
 
+func (Departed) isEffect()      {}
 func (Exchange) isEffect()      {}
 func (ExchangeReply) isEffect() {}
 func (Fetch) isEffect()         {}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -43,6 +43,9 @@
 		s, out = s.fold(next)
 		effects = append(effects, out.Effects...)
 		pending = append(pending, out.Raised...)
+		if len(pending) == 0 && s.flow.Draining() && s.flow.Open() == 0 && !s.peers.Leaving() {
+			pending = append(pending, event.LeaveAsked{})
+		}
 	}
 	return s, effects
 }
--- a/io/cmds/run_test.go
+++ b/io/cmds/run_test.go
@@ -40,6 +40,7 @@
 		"edit without value":    {[]string{"template", "edit", "acme", "--set", "Rate"}, "", 2, "Field=Value"},
 		"edit twice":            {[]string{"template", "edit", "acme", "--set", "Rate=1", "--set", "Rate=2"}, "", 2, "Rate twice"},
 		"edit unknown field":    {[]string{"template", "edit", "acme", "--set", "rate=1"}, "", 2, "rate"},
+		"edit names nobody":     {[]string{"template", "edit", "acme", "--set", "Models=x,y"}, "", 4, "Model/x, which does not exist"},
 		"edit other type":       {[]string{"template", "edit", "acme", "--set", "Rate=fast"}, "", 2, "Rate"},
 		"edit out of range":     {[]string{"template", "edit", "acme", "--set", "CheapShare=2"}, "", 2, "accepted: 0 to 1"},
 		"edit at old version":   {[]string{"template", "edit", "acme", "--set", "Rate=1", "--if-version", "99"}, "", 3, "version 1, not 99"},
@@ -71,6 +72,10 @@
 		"key as its name":     {[]string{"key", "withdraw", canary}, "", 2, "argument NAME is a key"},
 		"key as a new name":   {[]string{"key", "create", "acme", "--name", canary}, "", 2, "--name"},
 		"key as a name":       {[]string{"template", "show", canary}, "", 4, "[redacted]"},
+		"half of peer TLS":    {[]string{"key", "withdraw", "k1", "--peer-key", "k.pem"}, "", 2, "all three or none"},
+		"no peer files": {
+			[]string{"key", "withdraw", "k1", "--peer-key", "k", "--peer-certificate", "c", "--peer-authority", "a"}, "", 2, "no such file",
+		},
 		"withdraw absent":     {[]string{"key", "withdraw", "k9"}, "", 4, "Key/k9 does not exist"},
 		"drain withdrawn":     {[]string{"upstream", "drain", "gone"}, "", 1, "is withdrawn"},
 		"escape sequence":     {[]string{"template", "show", "a\x1b[31m\nb"}, "", 4, "does not exist"},
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -25,8 +25,10 @@
 	"caroblane/core/node"
 	"caroblane/core/peers"
 	"caroblane/io/admin"
+	"caroblane/io/certs"
 	"caroblane/io/desk"
 	"caroblane/io/front"
+	"caroblane/io/link"
 	"caroblane/io/loop"
 	"caroblane/io/meter"
 	"caroblane/io/plat"
@@ -37,6 +39,9 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
+	// departTerm bounds the wait for the roster to drop a drained node. Without
+	// the store its peers count it as left by its own statement.
+	departTerm = 3 * time.Second
 )
 
 // Errors is the namespace of this layer's errors.
@@ -65,6 +70,13 @@
 	platform    *plat.Client
 	relay       *relay.Client
 	front       *front.Server
+	// certificate is nil where callers use plain text, and authority where
+	// peers do.
+	certificate *certs.Callers
+	authority   *certs.Peers
+	link        *link.Client
+	peers       http.Handler
+	departed    departure
 	// drained gets a value when an operator asks for a drain.
 	drained chan struct{}
 	done    chan struct{}
@@ -82,6 +94,9 @@
 // the effects of others.
 type executors []loop.Executor[effect.Effect]
 
+// departure tells the drain that the roster no longer lists this node.
+type departure chan struct{}
+
 // replies hands reply effects to the traffic goroutines.
 type replies struct{ desk *desk.Desk }
 
@@ -116,22 +131,45 @@
 		incarnation: incarnation,
 		log:         log,
 		clock:       clock,
+		departed:    make(departure, 1),
 		drained:     make(chan struct{}, 1),
 		done:        make(chan struct{}),
 	}
 	replyDesk := desk.New()
 	all := &executors{}
-	initial := node.New(peers.New(), limit.New(), claim.New(claim.DefaultSettings(), incarnation))
+	self := model.Member{
+		Name:        settings.Node.Name,
+		Address:     listeners.Peers.Addr().String(),
+		Zone:        settings.Node.Zone,
+		Incarnation: incarnation,
+	}
+	initial := node.New(peers.New(self, settings.Node.Region), limit.New(), claim.New(claim.DefaultSettings(), incarnation))
 	n.loop = loop.New[node.State, event.Event, effect.Effect](
 		initial, all, event.Tick{}, settings.Limits.QueueCapacity, random(), clock.Now)
+	n.meter = meter.New(n.reading)
+	posts := counted{control{n.loop}, n.meter}
 	n.platform = plat.New(
 		plat.DefaultSettings("http://"+settings.Platform.Address.String(), string(settings.Node.Name)),
-		n.loop, random(), clock)
-	n.meter = meter.New(n.reading)
-	*all = executors{replies{replyDesk}, n.meter, n.platform}
-	n.relay = relay.New(relay.Dialer())
+		posts, random(), clock)
 	var err error
-	n.front, err = front.New(control{n.loop}, replyDesk, n.relay, observer{n.meter}, front.Options{
+	if n.authority, err = peerAuthority(settings.TLS, clock.Now); err != nil {
+		return nil, err
+	}
+	scheme, transport := peerTransport(n.authority)
+	n.link = link.New(link.Options{
+		Self:   self,
+		Scheme: scheme,
+		HTTP:   &http.Client{Transport: transport},
+		Find:   n.member,
+		Now:    clock.Now,
+	}, posts)
+	n.peers = link.NewHandler(self, posts, replyDesk)
+	*all = executors{replies{replyDesk}, n.meter, counter{n.meter}, n.platform, n.link, n.departed}
+	n.relay = relay.New(relay.Dialer())
+	if n.certificate, err = callerCertificate(settings.TLS, clock.Now); err != nil {
+		return nil, err
+	}
+	n.front, err = front.New(posts, replyDesk, n.relay, observer{n.meter}, front.Options{
 		MaxBody:       int64(settings.Limits.MaxBody),
 		AdmitWithin:   settings.Limits.AdmitWithin,
 		RequestWithin: settings.Limits.RequestWithin,
@@ -155,11 +193,14 @@
 	var running sync.WaitGroup
 	running.Go(func() { n.loop.Run(control) })
 	running.Go(func() { n.platform.Run(control) })
+	running.Go(func() { n.link.Run(control) })
+	peerServer := n.server(n.peers)
+	running.Go(func() { _ = n.servePeers(peerServer) })
 	administered := make(chan error, 1)
 	go func() { administered <- admin.Serve(control, n.listeners.Admin, n.admin()) }()
 	callers := n.server(n.front)
 	ended := make(chan error, 1)
-	go func() { ended <- callers.Serve(n.listeners.Callers) }()
+	go func() { ended <- n.serveCallers(callers) }()
 	n.log.Info().Str("Callers", n.listeners.Callers.Addr().String()).Msg("node started")
 	var failure error
 	select {
@@ -174,6 +215,9 @@
 		failure = n.drain(control, callers)
 	}
 	stop()
+	// The peer listener is the last one to close: a refused connection tells
+	// the peers that this process admits nothing any more.
+	_ = peerServer.Close()
 	running.Wait()
 	failure = cmp.Or(failure, <-administered)
 	n.relay.Close()
@@ -195,9 +239,26 @@
 		_ = callers.Close()
 		return Failed.Wrap(err, "requests were still open at the drain deadline")
 	}
+	ctx, cancel = context.WithTimeout(ctx, departTerm)
+	defer cancel()
+	select {
+	case <-n.departed:
+	case <-ctx.Done():
+		n.log.Warn().Msg("node left without an answer of the store")
+	}
 	return nil
 }
 
+// member returns the member of a name in the roster in force.
+func (n *Node) member(name model.NodeName) (model.Member, bool) {
+	for _, member := range n.loop.Snapshot().Conf().Roster().Members {
+		if member.Name == name {
+			return member, true
+		}
+	}
+	return model.Member{}, false
+}
+
 // admin returns the handler of the admin listener.
 func (n *Node) admin() http.Handler {
 	commands := admin.Commands{
@@ -217,17 +278,26 @@
 }
 
 func (n *Node) status() admin.Status {
-	state := n.loop.Snapshot()
+	state, now := n.loop.Snapshot(), n.clock.Now()
+	members := []admin.Member{}
+	for _, v := range state.Peers().Others(now) {
+		members = append(members, admin.Member{
+			Name: v.Member.Name, Address: v.Member.Address, Zone: v.Member.Zone,
+			Version: v.Version, Stopped: v.Stopped, HeardAt: v.HeardAt,
+		})
+	}
 	return admin.Status{
-		Node:         n.settings.Node.Name,
-		Incarnation:  n.incarnation,
-		Region:       n.settings.Node.Region,
-		Zone:         n.settings.Node.Zone,
-		Version:      state.Conf().Version(),
-		Fresh:        state.Peers().Fresh(n.clock.Now()),
-		Draining:     state.Flow().Draining(),
-		OpenRequests: state.Flow().Open(),
-		Faults:       state.Conf().Faults(),
+		CertificateFault: n.certificateFault(),
+		Node:             n.settings.Node.Name,
+		Incarnation:      n.incarnation,
+		Region:           n.settings.Node.Region,
+		Zone:             n.settings.Node.Zone,
+		Version:          state.Conf().Version(),
+		Fresh:            state.Peers().Fresh(now),
+		Draining:         state.Flow().Draining(),
+		OpenRequests:     state.Flow().Open(),
+		Faults:           state.Conf().Faults(),
+		Members:          members,
 	}
 }
 
@@ -237,6 +307,7 @@
 		Version: state.Conf().Version(),
 		Fresh:   state.Peers().Fresh(n.clock.Now()),
 		Open:    state.Flow().Open(),
+		Queued:  n.loop.Queued(),
 		Faults:  len(state.Conf().Faults()),
 	}
 }
@@ -264,6 +335,17 @@
 	o.Execute(context.Background(), effect.CountRefusal{Reason: reason})
 }
 
+// Execute takes the end of the membership.
+func (d departure) Execute(_ context.Context, e effect.Effect) {
+	if _, ok := e.(effect.Departed); ok {
+		select {
+		case d <- struct{}{}:
+		default:
+			// The end is known already.
+		}
+	}
+}
+
 // Execute hands a reply to the holder of its ticket.
 func (r replies) Execute(_ context.Context, e effect.Effect) {
 	if reply, ok := e.(effect.Reply); ok {
--- /dev/null
+++ b/io/link/generate.go
@@ -0,0 +1,3 @@
+package link
+
+//go:generate buf generate
