--- a/core/effect/limit.go
+++ b/core/effect/limit.go
@@ -9,6 +9,9 @@
 	Account model.AccountName
 	Seq     uint64
 	Want    model.Allowance
+	// GivenBack tells that this node no longer uses any loan of the account
+	// from the peer whose Seq is lower. Want may be zero then.
+	GivenBack bool
 }
 
 // Lend answers event.BorrowAsked.
--- a/core/event/limit.go
+++ b/core/event/limit.go
@@ -25,6 +25,9 @@
 	Account         model.AccountName
 	Seq             uint64
 	Want            model.Allowance
+	// GivenBack tells that the peer no longer uses any loan of the account
+	// from this node whose Seq is lower. Want may be zero then.
+	GivenBack bool
 }
 
 // BorrowFailed reports a borrow request without an answer.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -72,7 +72,7 @@
 	collect()
 	s.peers, out = s.peers.Apply(in)
 	collect()
-	s.limit, out = s.limit.Apply(in)
+	s.limit, out = s.limit.Apply(in, limit.Facts{Fresh: s.peers.Fresh(in.At)})
 	collect()
 	s.claim, out = s.claim.Apply(in)
 	collect()
