--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -137,6 +137,8 @@
 		answer(w, http.StatusServiceUnavailable, failure{Message: "draining"})
 	case !status.Fresh:
 		answer(w, http.StatusServiceUnavailable, failure{Message: "configuration is not fresh"})
+	case !status.Settled:
+		answer(w, http.StatusServiceUnavailable, failure{Message: "share of the limits is not settled"})
 	default:
 		answer(w, http.StatusOK, accepted{Accepted: true})
 	}
--- a/io/admin/admin_test.go
+++ b/io/admin/admin_test.go
@@ -17,9 +17,9 @@
 // TestAnswers guards against a node that is ready while it cannot admit, and
 // against commands that are accepted without effect or for the wrong member.
 func TestAnswers(t *testing.T) {
-	fresh := admin.Status{Node: "a", Fresh: true}.WithMembers(admin.Member{Name: "b"})
-	draining, stale := fresh, fresh
-	draining.Draining, stale.Fresh = true, false
+	fresh := admin.Status{Node: "a", Fresh: true, Settled: true}.WithMembers(admin.Member{Name: "b"})
+	draining, stale, unsettled := fresh, fresh, fresh
+	draining.Draining, stale.Fresh, unsettled.Settled = true, false, false
 	running, stopped := make(chan struct{}), make(chan struct{})
 	close(stopped)
 	for name, test := range map[string]struct {
@@ -37,6 +37,7 @@
 		"draining":         {status: draining, request: "GET /readyz", code: 503, text: "draining"},
 		"stale":            {status: stale, request: "GET /readyz", code: 503, text: "not fresh"},
 		"stale is healthy": {status: stale, request: "GET /healthz", code: 200},
+		"unsettled":        {status: unsettled, request: "GET /readyz", code: 503, text: "not settled"},
 		"metrics":          {status: fresh, request: "GET /metrics", code: 200, text: "metrics here"},
 		"drain":            {status: fresh, request: "POST /drain", code: 202, posted: "drain"},
 		"drain by GET":     {status: fresh, request: "GET /drain", code: 405},
--- a/io/admin/status.go
+++ b/io/admin/status.go
@@ -19,6 +19,9 @@
 	Version model.Version
 	// Fresh tells that the node may admit requests.
 	Fresh bool
+	// Settled tells that the node's own share of the limits counts. Before, it
+	// admits only with loans.
+	Settled bool
 	// Draining tells that the node takes no new requests.
 	Draining bool
 	// OpenRequests counts the requests that run or wait.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -138,7 +138,7 @@
 		Zone:        settings.Node.Zone,
 		Incarnation: incarnation,
 	}
-	initial := node.New(peers.New(self, settings.Node.Region), limit.New(), claim.New(claim.DefaultSettings(), incarnation))
+	initial := node.New(peers.New(self, settings.Node.Region), limit.New(self.Name, limit.Mix(), limit.DefaultOptions()), claim.New(claim.DefaultSettings(), incarnation))
 	n.loop = loop.New[node.State, event.Event, effect.Effect](
 		initial, all, event.Tick{}, settings.Limits.QueueCapacity, random(), clock.Now)
 	n.platform = plat.New(
@@ -265,17 +265,30 @@
 }
 
 func (n *Node) status() admin.Status {
-	state := n.loop.Snapshot()
+	state, now := n.loop.Snapshot(), n.clock.Now()
+	var members []admin.Member
+	for _, known := range state.Peers().Members(now) {
+		members = append(members, admin.Member{
+			Name:      known.Member.Name,
+			Address:   known.Member.Address,
+			Zone:      known.Member.Zone,
+			Version:   known.Version,
+			Accounted: known.Accounted,
+			HeardAt:   known.HeardAt,
+		})
+	}
 	return admin.Status{
 		Node:         n.settings.Node.Name,
 		Incarnation:  n.incarnation,
 		Region:       n.settings.Node.Region,
 		Zone:         n.settings.Node.Zone,
 		Version:      state.Conf().Version(),
-		Fresh:        state.Peers().Fresh(n.clock.Now()),
+		Fresh:        state.Peers().Fresh(now),
+		Settled:      state.Limit().Settled(now),
 		Draining:     state.Flow().Draining(),
 		OpenRequests: state.Flow().Open(),
 		Faults:       state.Conf().Faults(),
+		Members:      members,
 	}
 }
 
--- a/io/link/client.go
+++ b/io/link/client.go
@@ -217,6 +217,7 @@
 		Account:         string(e.Account),
 		Seq:             e.Seq,
 		Want:            wireAllowance(e.Want),
+		GivenBack:       e.GivenBack,
 	})
 	if err != nil {
 		return event.BorrowFailed{Peer: e.Peer, Account: e.Account, Seq: e.Seq}
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -154,9 +154,10 @@
 			event.FetchAnswered{Peer: b.member, After: 3, Changes: changesOf(), Upto: 6, Clean: 9, Floor: 2},
 		},
 		"borrow": {
-			effect.Borrow{Peer: "b", Account: "acct", Seq: 4, Want: model.Allowance{Rate: 5, Burst: 6, Level: 7}},
+			effect.Borrow{Peer: "b", Account: "acct", Seq: 4, Want: model.Allowance{Rate: 5, Burst: 6, Level: 7}, GivenBack: true},
 			event.BorrowAsked{
 				From: "a", FromIncarnation: 3, Account: "acct", Seq: 4, Want: model.Allowance{Rate: 5, Burst: 6, Level: 7},
+				GivenBack: true,
 			},
 			event.BorrowAnswered{Peer: "b", Account: "acct", Seq: 4, Amount: model.Allowance{Rate: 1, Burst: 2, Level: 3}},
 		},
