--- a/core/conf/conf.go
+++ b/core/conf/conf.go
@@ -53,9 +53,9 @@
 	objects *immutable.Map[objectID, entry]
 	// order holds the last write of every object, graves those that are
 	// deletions.
-	order     *immutable.SortedMap[write, struct{}]
-	graves    *immutable.SortedMap[write, struct{}]
-	keys      *immutable.Map[model.KeyHash, model.Key]
+	order  *immutable.SortedMap[write, struct{}]
+	graves *immutable.SortedMap[write, struct{}]
+	keys   *immutable.Map[model.KeyHash, model.Key]
 	// byModel lists the upstreams of a model in order of their names. The lists
 	// hold the upstreams themselves: placement reads hundreds of them for one
 	// request.
@@ -69,12 +69,12 @@
 // New returns a state without configuration.
 func New() State {
 	return State{
-		objects:   immutable.NewMap[objectID, entry](idHasher{}),
-		order:     immutable.NewSortedMap[write, struct{}](writeComparer{}),
-		graves:    immutable.NewSortedMap[write, struct{}](writeComparer{}),
-		keys:      immutable.NewMap[model.KeyHash, model.Key](hashHasher{}),
-		byModel:   immutable.NewMap[model.ModelName, []Placeable](nil),
-		models:    immutable.NewMap[model.ModelName, model.Model](nil),
+		objects: immutable.NewMap[objectID, entry](idHasher{}),
+		order:   immutable.NewSortedMap[write, struct{}](writeComparer{}),
+		graves:  immutable.NewSortedMap[write, struct{}](writeComparer{}),
+		keys:    immutable.NewMap[model.KeyHash, model.Key](hashHasher{}),
+		byModel: immutable.NewMap[model.ModelName, []Placeable](nil),
+		models:  immutable.NewMap[model.ModelName, model.Model](nil),
 	}
 }
 
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -56,6 +56,9 @@
 // Flow returns the open requests.
 func (s State) Flow() flow.State { return s.flow }
 
+// Limit returns the allowances of the node.
+func (s State) Limit() limit.State { return s.limit }
+
 // Next returns when the node needs a timer event.
 func (s State) Next() time.Time {
 	return step.Earliest(s.peers.Next(), s.limit.Next(), s.claim.Next(), s.flow.Next())
@@ -75,7 +78,7 @@
 	collect()
 	s.peers, out = s.peers.Apply(in)
 	collect()
-	s.limit, out = s.limit.Apply(in)
+	s.limit, out = s.limit.Apply(in, limit.Facts{Fresh: s.peers.Fresh(in.At)})
 	collect()
 	s.claim, out = s.claim.Apply(in)
 	collect()
--- a/core/peers/settle.go
+++ b/core/peers/settle.go
@@ -107,6 +107,11 @@
 // or has stopped. Evicted processes stay in Roster.Former for this.
 func (s State) withSettled(now time.Time, out *Out) State {
 	s.settle = s.settle.withHeld(s.version, now).withTime(now)
+	if s.settle.since == 0 {
+		// The claims leave out processes that are no members in their own view.
+		// One of those must use no share, and so learns no settled version.
+		return s
+	}
 	low := s.settle.gossip
 	if confirmed, ok := s.confirmed(now); ok {
 		low = max(low, confirmed, s.settle.expired)
@@ -124,9 +129,6 @@
 // node joined.
 func (s State) confirmed(now time.Time) (model.Version, bool) {
 	lowest := s.version
-	if s.settle.since == 0 {
-		return 0, false
-	}
 	for itr := s.peers.Iterator(); !itr.Done(); {
 		_, p, _ := itr.Next()
 		if p.ruledOut(now) || s.settledOut(p) {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -143,7 +143,7 @@
 		Zone:        settings.Node.Zone,
 		Incarnation: incarnation,
 	}
-	initial := node.New(peers.New(self, settings.Node.Region), limit.New(), claim.New(claim.DefaultSettings(), incarnation))
+	initial := node.New(peers.New(self, settings.Node.Region), limit.New(self.Name, limit.Mix(), limit.DefaultOptions()), claim.New(claim.DefaultSettings(), incarnation))
 	n.loop = loop.New[node.State, event.Event, effect.Effect](
 		initial, all, event.Tick{}, settings.Limits.QueueCapacity, random(), clock.Now)
 	n.meter = meter.New(n.reading)
@@ -294,6 +294,7 @@
 		Zone:             n.settings.Node.Zone,
 		Version:          state.Conf().Version(),
 		Fresh:            state.Peers().Fresh(now),
+		Settled:          state.Limit().Settled(now),
 		Draining:         state.Flow().Draining(),
 		OpenRequests:     state.Flow().Open(),
 		Faults:           state.Conf().Faults(),
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -67,6 +67,7 @@
 			Account:         model.AccountName(request.GetAccount()),
 			Seq:             request.GetSeq(),
 			Want:            allowance(request.GetWant()),
+			GivenBack:       request.GetGivenBack(),
 		}
 	})
 	if err != nil {
