Go on serving while the balancer follows the readiness of a leaving node

Cause: a drain closed the caller listener as soon as it started. The balancer learns of it a moment later, so connections were refused in a planned stop.

Change: the setting DrainNotice (5 s): readiness fails first, requests are still served with "Connection: close", then the listener closes. The benchmark of the reducer gets a roster and settled shares, since limits are enforced.

A request after the readiness of the node failed is served in TestDrainCutsNothing; before, its connection was refused.

--- a/cmd/caroblaned/harness_test.go
+++ b/cmd/caroblaned/harness_test.go
@@ -230,7 +230,7 @@
 	in.t.Helper()
 	node := &entryNode{callers: freeAddress(in.t), admin: freeAddress(in.t)}
 	node.settings = filepath.Join(in.dir, fmt.Sprintf("node-%d.ini", i))
-	text := fmt.Sprintf("[Node]\nName = node-%d\n[Listen]\nCallers = %s\nPeers = %s\nAdmin = %s\n[Platform]\nAddress = %s\n",
+	text := fmt.Sprintf("[Node]\nName = node-%d\n[Listen]\nCallers = %s\nPeers = %s\nAdmin = %s\n[Platform]\nAddress = %s\n[Limits]\nDrainNotice = 500ms\n",
 		i, node.callers, freeAddress(in.t), node.admin, in.store)
 	if err := os.WriteFile(node.settings, []byte(text), 0o600); err != nil {
 		in.t.Fatal(err)
--- a/cmd/caroblaned/process_test.go
+++ b/cmd/caroblaned/process_test.go
@@ -89,6 +89,10 @@
 	in.eventually("the stream has begun", func() bool { return in.openRequests(0) == 1 })
 	in.nodes[0].signal(t, syscall.SIGTERM)
 	in.eventually("node 0 is not ready", func() bool { return !in.nodes[0].ready() })
+	// The balancer has not seen it yet and sends one more.
+	if err := wholeStream(in.chat(0, 3), 3); err != nil {
+		t.Errorf("request within the drain notice: %v", err)
+	}
 	if err := wholeStream(<-ended, tokens); err != nil {
 		t.Errorf("stream during the drain: %v", err)
 	}
--- a/core/node/bench_test.go
+++ b/core/node/bench_test.go
@@ -17,7 +17,11 @@
 )
 
 // at is the start of the benchmark's time.
-var at = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+var (
+	at    = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	later = at.Add(4 * time.Second)
+	self  = model.Member{Name: "n", Address: "127.0.0.1:1", Incarnation: 1}
+)
 
 func keyOf(account int) model.KeyHash {
 	return sha256.Sum256(fmt.Appendf(nil, "key-%d", account))
@@ -46,9 +50,14 @@
 		})
 	}
 	s := New(peers.New(model.Member{Name: "n", Incarnation: 1}, "r"), limit.New("n", limit.Mix(), limit.DefaultOptions()), claim.New(claim.DefaultSettings(), 1))
-	s, _ = s.Apply(Input{At: at, Event: event.ConfigChanged{
+	add(model.KindRoster, "r", model.Roster{Region: "r", Members: []model.Member{self}})
+	contact := event.ConfigChanged{
 		Changes: changes, Upto: model.Version(len(changes)), SentAt: at, FromStore: true,
-	}})
+	}
+	s, _ = s.Apply(Input{At: at, Draw: 1 << 40, Event: contact})
+	// The base shares count after the term of loans of an earlier process.
+	contact.Changes, contact.SentAt = nil, later
+	s, _ = s.Apply(Input{At: later, Event: contact})
 	return s
 }
 
@@ -72,7 +81,7 @@
 	}
 	started := time.Now()
 	for range n {
-		in := Input{At: at.Add(time.Millisecond), Draw: draw.Uint64()}
+		in := Input{At: later.Add(time.Millisecond), Draw: draw.Uint64()}
 		if len(open) == 64 {
 			i := draw.IntN(len(open))
 			in.Event = event.AttemptEnded{Ticket: open[i].ticket, Attempt: open[i].attempt, Outcome: model.Completed}
@@ -83,7 +92,7 @@
 			in.Event = event.RequestArrived{Ticket: ticket, Request: model.Request{
 				ID: "r", HasKey: true, KeyHash: keys[draw.IntN(accounts)],
 				Model:   models[draw.IntN(6)],
-				AdmitBy: at.Add(time.Minute),
+				AdmitBy: later.Add(time.Minute),
 			}}
 		}
 		var effects []effect.Effect
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -77,6 +78,8 @@
 	link        *link.Client
 	peers       http.Handler
 	departed    departure
+	// leaving is set when readiness has ended before a graceful shutdown.
+	leaving atomic.Bool
 	// drained gets a value when an operator asks for a drain.
 	drained chan struct{}
 	done    chan struct{}
@@ -198,7 +201,7 @@
 	running.Go(func() { _ = n.servePeers(peerServer) })
 	administered := make(chan error, 1)
 	go func() { administered <- admin.Serve(control, n.listeners.Admin, n.admin()) }()
-	callers := n.server(n.front)
+	callers := n.server(http.HandlerFunc(n.serveCaller))
 	ended := make(chan error, 1)
 	go func() { ended <- n.serveCallers(callers) }()
 	n.log.Info().Str("Callers", n.listeners.Callers.Addr().String()).Msg("node started")
@@ -228,6 +231,11 @@
 
 // drain ends the node without cutting a request, up to the deadline.
 func (n *Node) drain(ctx context.Context, callers *http.Server) error {
+	n.leaving.Store(true)
+	n.log.Info().Msg("readiness ended")
+	if err := n.clock.Wait(ctx, n.settings.Limits.DrainNotice); err != nil {
+		return Failed.Wrap(err, "drain notice")
+	}
 	by := n.clock.Now().Add(n.settings.Limits.DrainDeadline)
 	if err := n.loop.Post(ctx, event.DrainAsked{}); err != nil {
 		return Failed.Wrap(err, "drain")
@@ -249,6 +257,15 @@
 	return nil
 }
 
+// serveCaller passes a request on. While the node is leaving, callers are told
+// to use another connection next time.
+func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if n.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	n.front.ServeHTTP(w, r)
+}
+
 // member returns the member of a name in the roster in force.
 func (n *Node) member(name model.NodeName) (model.Member, bool) {
 	for _, member := range n.loop.Snapshot().Conf().Roster().Members {
@@ -295,7 +312,7 @@
 		Version:          state.Conf().Version(),
 		Fresh:            state.Peers().Fresh(now),
 		Settled:          state.Limit().Settled(now),
-		Draining:         state.Flow().Draining(),
+		Draining:         n.leaving.Load() || state.Flow().Draining(),
 		OpenRequests:     state.Flow().Open(),
 		Faults:           state.Conf().Faults(),
 		Members:          members,
--- a/io/setup/rows.go
+++ b/io/setup/rows.go
@@ -63,6 +63,8 @@
 				func(s *Settings) *time.Duration { return &s.Limits.AdmitWithin }),
 			term("RequestWithin", 10*time.Minute, time.Second, time.Hour,
 				func(s *Settings) *time.Duration { return &s.Limits.RequestWithin }),
+			term("DrainNotice", 5*time.Second, 0, 5*time.Minute,
+				func(s *Settings) *time.Duration { return &s.Limits.DrainNotice }),
 			term("DrainDeadline", 11*time.Minute, time.Second, 2*time.Hour,
 				func(s *Settings) *time.Duration { return &s.Limits.DrainDeadline }),
 			number("QueueCapacity", 16384, "events", 64, 1<<20, func(s *Settings) *int { return &s.Limits.QueueCapacity }),
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -69,6 +69,9 @@
 	AdmitWithin time.Duration
 	// RequestWithin is how long a request runs.
 	RequestWithin time.Duration
+	// DrainNotice is how long a graceful shutdown goes on serving after
+	// readiness has failed, so that the balancer can move callers away.
+	DrainNotice time.Duration
 	// DrainDeadline is how long a graceful shutdown waits for open requests. It
 	// is at least RequestWithin, so that a shutdown cuts no request.
 	DrainDeadline time.Duration
--- a/io/stack/stack.go
+++ b/io/stack/stack.go
@@ -178,7 +178,11 @@
 			}
 			*listener = opened
 		}
+		limits := setup.Default().Limits
+		// No balancer has to follow the readiness of these nodes.
+		limits.DrainNotice = 0
 		settings := setup.Default().
+			WithLimits(limits).
 			WithPlatform(platform).
 			WithNode(setup.Node{Name: model.NodeName(fmt.Sprintf("node-%d", i+1)), Region: "local", Zone: zone(i)}).
 			WithListen(setup.Listen{Callers: addressOf(l.Callers), Peers: addressOf(l.Peers), Admin: addressOf(l.Admin)})
