--- /dev/null
+++ b/core/event/order.go
@@ -0,0 +1,88 @@
+package event
+
+import (
+	"time"
+
+	"caroblane/core/model"
+)
+
+// LastOrderRead reports the last order that an upstream accepted.
+type LastOrderRead struct {
+	Op    model.Op
+	Found bool
+	Seq   uint64
+}
+
+// ObjectsListed reports all objects of a kind.
+type ObjectsListed struct {
+	Op      model.Op
+	SentAt  time.Time
+	Objects []model.Change
+}
+
+// OrderAsked is raised when an engine is to get an order. It replaces an order
+// to the same engine that is not recorded yet.
+type OrderAsked struct {
+	Upstream    model.UpstreamName
+	ChecksEpoch bool
+	Intent      model.OrderIntent
+}
+
+// OrderEnded is raised when an order has ended.
+type OrderEnded struct {
+	Upstream model.UpstreamName
+	Intent   model.OrderIntent
+	// Dropped tells that this node gave the order up. If it was recorded, the
+	// holder of the lease sends it later. State is not set then.
+	Dropped bool
+	State   model.OrderState
+}
+
+// ProvisionAsked is raised when the platform is to get an order for upstreams.
+// The same ID always means the same order.
+type ProvisionAsked struct {
+	ID     string
+	Intent model.ProvisionIntent
+}
+
+// ProvisionEnded is raised when an order for upstreams has ended.
+type ProvisionEnded struct {
+	ID string
+	// Dropped tells that this node gave the order up. State is not set then.
+	Dropped bool
+	State   model.ProvisionState
+}
+
+// SendAnswered reports the answer to effect.SendOrder, SendProvision or
+// ReportUsage.
+type SendAnswered struct {
+	Op     model.Op
+	Result model.SendResult
+}
+
+// SendFailed reports that effect.SendOrder, ReadOrder, SendProvision or
+// ReportUsage got no answer. It may have arrived.
+type SendFailed struct{ Op model.Op }
+
+// UsageCloseAsked ends the current usage window of this node early, before its
+// process exits.
+type UsageCloseAsked struct{}
+
+// UsageCounted reports the usage of ended requests.
+type UsageCounted struct{ Line model.UsageLine }
+
+// UsageReported is raised when the platform has accepted the report of a
+// window.
+type UsageReported struct{ Window model.Window }
+
+func (LastOrderRead) isEvent()   {}
+func (ObjectsListed) isEvent()   {}
+func (OrderAsked) isEvent()      {}
+func (OrderEnded) isEvent()      {}
+func (ProvisionAsked) isEvent()  {}
+func (ProvisionEnded) isEvent()  {}
+func (SendAnswered) isEvent()    {}
+func (SendFailed) isEvent()      {}
+func (UsageCloseAsked) isEvent() {}
+func (UsageCounted) isEvent()    {}
+func (UsageReported) isEvent()   {}
--- a/core/model/records.go
+++ b/core/model/records.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-//go:generate go tool stringer -type=ClaimState,OrderAction,OrderState,ProvisionState,UsageState -output=records_string.go
+//go:generate go tool stringer -type=ClaimState,OrderAction,OrderState,ProvisionState,SendResult,UsageState -output=records_string.go
 
 // ClaimState tells what is known of a claimed request.
 type ClaimState int
@@ -127,6 +127,18 @@
 	Nonce  string
 }
 
+// SendResult is the answer to an order, to an order for upstreams or to a usage
+// report.
+type SendResult int
+
+// The values of SendResult.
+const (
+	SendAccepted SendResult = iota
+	SendRefused
+	// SendStale means that the receiver knows a higher epoch.
+	SendStale
+)
+
 // Usage is the object Usage/<window>: the figures reported for a window. Its
 // figures never change once it is written.
 type Usage struct {
--- a/core/safety/store_test.go
+++ b/core/safety/store_test.go
@@ -6,6 +6,8 @@
 import (
 	"flag"
 	"os"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -47,13 +49,32 @@
 	return object, ok
 }
 
+// list returns the objects of a kind in order of their names.
+func (s *store) list(kind model.Kind) []model.Change {
+	var objects []model.Change
+	for _, object := range s.objects {
+		if object.Kind == kind {
+			objects = append(objects, object)
+		}
+	}
+	slices.SortFunc(objects, func(a, b model.Change) int { return strings.Compare(a.Name, b.Name) })
+	return objects
+}
+
 // write applies a conditional update and tells whether it took effect.
 func (s *store) write(w effect.WriteObject) (model.Change, bool) {
 	held := s.objects[nameOf(w.Kind, w.Name)]
+	if *naive == "unconditional" && w.Kind == model.KindUsage {
+		w.IfVersion = held.Version
+	}
 	if held.Version != w.IfVersion {
 		return held, false
 	}
 	s.revision++
+	if w.Delete {
+		delete(s.objects, nameOf(w.Kind, w.Name))
+		return model.Change{}, true
+	}
 	next := model.Change{
 		Kind: w.Kind, Name: w.Name, Version: s.revision, Generation: held.Generation + 1, Value: w.Value,
 	}
@@ -101,6 +122,8 @@
 			return event.ObjectConflict{Op: e.Op, SentAt: c.sentAt}
 		}
 		return event.ObjectWritten{Op: e.Op, SentAt: c.sentAt, Version: object.Version, Generation: object.Generation}
+	case effect.ListObjects:
+		return event.ObjectsListed{Op: e.Op, SentAt: c.sentAt, Objects: w.store.list(e.Kind)}
 	default:
 		return nil
 	}
@@ -124,11 +147,14 @@
 }
 
 func failed(e effect.Effect) event.Event {
-	read, ok := e.(effect.ReadObject)
-	if !ok {
+	switch e := e.(type) {
+	case effect.ReadObject:
+		return event.ObjectReadFailed{Op: e.Op}
+	case effect.ListObjects:
+		return event.ObjectReadFailed{Op: e.Op}
+	default:
 		return nil
 	}
-	return event.ObjectReadFailed{Op: read.Op}
 }
 
 // abandon turns the calls of a dead process into late writes.
