--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,50 @@
+package retry
+
+import (
+	"testing"
+	"time"
+)
+
+// TestBudget guards against retries that multiply the load of an outage, and
+// against a budget that never refills.
+func TestBudget(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	cases := map[string]struct {
+		requests int
+		// spent retries are taken at the start.
+		spent int
+		after time.Duration
+		want  int
+	}{
+		"no requests":             {0, 0, 0, 30},
+		"ten percent":             {1000, 0, 0, 130},
+		"fraction is not rounded": {9, 0, 0, 30},
+		"spent":                   {1000, 130, 9 * time.Second, 0},
+		"refilled":                {1000, 130, 10 * time.Second, 30},
+		"long pause":              {1000, 130, time.Hour, 30},
+		"clock steps back":        {1000, 130, -time.Minute, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var b Budget
+			for range c.requests {
+				b = b.WithRequest(start)
+			}
+			take := func(at time.Time, most int) int {
+				for taken := range most {
+					var ok bool
+					if b, ok = b.WithRetry(at); !ok {
+						return taken
+					}
+				}
+				return most
+			}
+			if got := take(start, c.spent); got != c.spent {
+				t.Fatalf("%d retries at the start, want %d", got, c.spent)
+			}
+			if got := take(start.Add(c.after), 1000); got != c.want {
+				t.Errorf("%d retries, want %d", got, c.want)
+			}
+		})
+	}
+}
