Refuse crashing requests and bound retries in the request flow

Cause: a content that crashes upstreams was sent to the next one, and every failed request was sent up to three times whatever the state of the fleet. Change: flow counts a crash once for each request that the upstream ran, runs suspects on an upstream where this node runs nothing else, refuses them with CrashSuspect from the third crash, and checks the retry budget before each retry or resume (new reason RetryBudgetSpent). A caller that leaves while its claim is written ends the claim as not run. AuthorityChanged gets Until.

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -19,6 +19,10 @@
 	// one crash says little about any of them.
 	aloneFrom  = 2
 	refuseFrom = 3
+	// peerMargin is how much longer a peer's count is kept. Without it, a count
+	// that the peer still sends could end here first and then be taken for a
+	// new one.
+	peerMargin = 5 * time.Second
 	// maxCounts bounds the fingerprints. At the cap, the one whose last crash
 	// is oldest is dropped.
 	maxCounts = 16384
@@ -38,12 +42,6 @@
 	Refuse
 )
 
-// Count is the number of crashes of a fingerprint.
-type Count struct {
-	Fingerprint uint64
-	Count       int
-}
-
 // entry has the counts of one fingerprint.
 type entry struct {
 	own   int
@@ -75,7 +73,8 @@
 			return e, false
 		}
 	}
-	e.peers = append(peers, peerCount{peer, count})
+	peers = append(peers, peerCount{peer, count})
+	e.peers = peers
 	return e, true
 }
 
@@ -105,14 +104,24 @@
 	}
 }
 
-// Own returns the counts of this node, for its peers.
-func (s State) Own(at time.Time) []Count {
-	var own []Count
-	for itr := s.order.Iterator(); !itr.Done(); {
-		key, _, _ := itr.Next()
-		e, _ := s.counts.Get(key.fingerprint)
-		if e.own > 0 && at.Before(e.until) {
-			own = append(own, Count{key.fingerprint, e.own})
+// Next returns when the first count ends.
+func (s State) Next() time.Time {
+	itr := s.order.Iterator()
+	if itr.Done() {
+		return time.Time{}
+	}
+	first, _, _ := itr.Next()
+	return first.until
+}
+
+// Own returns the latest counts of this node, for its peers.
+func (s State) Own() []model.CrashCount {
+	var own []model.CrashCount
+	itr := s.order.Iterator()
+	for itr.Last(); !itr.Done() && len(own) < model.MaxCrashCounts; {
+		key, _, _ := itr.Prev()
+		if e, _ := s.counts.Get(key.fingerprint); e.own > 0 {
+			own = append(own, model.CrashCount{Fingerprint: key.fingerprint, Count: e.own})
 		}
 	}
 	return own
@@ -141,7 +150,7 @@
 // WithCrash returns the state after a crash of an upstream that ran requests
 // with these fingerprints. Each distinct one counts once.
 func (s State) WithCrash(fingerprints []uint64, at time.Time) State {
-	s = s.withoutExpired(at)
+	s = s.WithoutExpired(at)
 	seen := map[uint64]bool{}
 	for _, fingerprint := range fingerprints {
 		if fingerprint == 0 || seen[fingerprint] {
@@ -150,27 +159,29 @@
 		seen[fingerprint] = true
 		e, _ := s.counts.Get(fingerprint)
 		e.own++
-		s = s.with(fingerprint, e, at)
+		s = s.with(fingerprint, e, at.Add(Term))
 	}
 	return s
 }
 
 // WithPeer returns the state with the counts that a peer made itself. A count
 // that did not rise since the last message does not extend the term.
-func (s State) WithPeer(peer model.NodeName, counts []Count, at time.Time) State {
-	s = s.withoutExpired(at)
+func (s State) WithPeer(peer model.NodeName, counts []model.CrashCount, at time.Time) State {
+	s = s.WithoutExpired(at)
 	for _, c := range counts {
 		e, _ := s.counts.Get(c.Fingerprint)
 		if e, rose := e.WithPeer(peer, c.Count); rose && c.Fingerprint != 0 {
-			s = s.with(c.Fingerprint, e, at)
+			s = s.with(c.Fingerprint, e, at.Add(Term+peerMargin))
 		}
 	}
 	return s
 }
 
-func (s State) with(fingerprint uint64, e entry, at time.Time) State {
+func (s State) with(fingerprint uint64, e entry, until time.Time) State {
 	s.order = s.order.Delete(expiry{e.until, fingerprint})
-	e.until = at.Add(Term)
+	if until.After(e.until) {
+		e.until = until
+	}
 	s.counts = s.counts.Set(fingerprint, e)
 	s.order = s.order.Set(expiry{e.until, fingerprint}, struct{}{})
 	if s.counts.Len() > maxCounts {
@@ -186,7 +197,8 @@
 	return s
 }
 
-func (s State) withoutExpired(at time.Time) State {
+// WithoutExpired returns the state without the counts that have ended.
+func (s State) WithoutExpired(at time.Time) State {
 	for itr := s.order.Iterator(); !itr.Done(); {
 		key, _, _ := itr.Next()
 		if at.Before(key.until) {
--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -20,7 +20,7 @@
 		}
 	}
 	peer := func(name model.NodeName, count int, at time.Time) func(State) State {
-		return func(s State) State { return s.WithPeer(name, []Count{{7, count}}, at) }
+		return func(s State) State { return s.WithPeer(name, []model.CrashCount{{Fingerprint: 7, Count: count}}, at) }
 	}
 	cases := map[string]struct {
 		steps []func(State) State
@@ -36,7 +36,7 @@
 		"two peers":                {[]func(State) State{crashes(1), peer("a", 1, start), peer("b", 1, start)}, 0, Refuse},
 		"peer repeats its message": {[]func(State) State{crashes(1), peer("a", 1, start), peer("a", 1, start)}, 0, Alone},
 		"repeat extends no term": {
-			[]func(State) State{peer("a", 3, start), peer("a", 3, start.Add(time.Minute))}, Term, Normal,
+			[]func(State) State{peer("a", 3, start), peer("a", 3, start.Add(time.Minute))}, Term + peerMargin, Normal,
 		},
 	}
 	for name, c := range cases {
@@ -62,9 +62,12 @@
 	for i := range maxCounts + 10 {
 		s = s.WithCrash([]uint64{uint64(i + 1)}, at.Add(time.Duration(i)))
 	}
-	if got := len(s.Own(at)); got != maxCounts {
+	if got := s.counts.Len(); got != maxCounts {
 		t.Errorf("%d counts, want %d", got, maxCounts)
 	}
+	if own := s.Own(); len(own) != model.MaxCrashCounts || own[0].Fingerprint != maxCounts+10 {
+		t.Errorf("%d counts for peers, the first is %+v; want the %d latest", len(own), own[0], model.MaxCrashCounts)
+	}
 	if _, ok := s.counts.Get(1); ok {
 		t.Error("the oldest count was kept")
 	}
--- a/core/event/peers.go
+++ b/core/event/peers.go
@@ -6,11 +6,13 @@
 	"caroblane/core/model"
 )
 
-// AuthorityChanged is raised when this node gains or loses the control lease of
-// its region.
+// AuthorityChanged is raised when this node gains, extends or loses the control
+// lease of its region. A part that acts under it checks the time against Until
+// at each decision.
 type AuthorityChanged struct {
 	Held  bool
 	Epoch model.Epoch
+	Until time.Time
 }
 
 // CrashCountsArrived is raised when a peer sent its crash counts. They replace
--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -9,10 +9,12 @@
 	"github.com/benbjohnson/immutable"
 
 	"caroblane/core/conf"
+	"caroblane/core/crash"
 	"caroblane/core/effect"
 	"caroblane/core/event"
 	"caroblane/core/fair"
 	"caroblane/core/model"
+	"caroblane/core/retry"
 	"caroblane/core/step"
 )
 
@@ -63,6 +65,9 @@
 	mayHaveRun bool
 	// resumed is the number of tokens that the caller had at the last resume.
 	resumed int
+	// crashCounted tells that the crash of the running attempt's upstream is
+	// counted already, with another request of the same batch.
+	crashCounted bool
 }
 
 // State holds the open requests of this node.
@@ -79,6 +84,10 @@
 	deadlines *immutable.SortedMap[deadline, struct{}]
 	// serveAt is when the queue is looked through again, zero if it is empty.
 	serveAt time.Time
+	crashes crash.State
+	// alone holds the upstreams that run one suspect request and get no other.
+	alone   *immutable.Map[model.UpstreamName, model.Ticket]
+	retries retry.Budget
 }
 
 // New returns a state without requests.
@@ -90,6 +99,8 @@
 		fullUntil: immutable.NewMap[model.UpstreamName, time.Time](nil),
 		queue:     fair.New[model.AccountName, model.Ticket](ageTerm),
 		deadlines: immutable.NewSortedMap[deadline, struct{}](deadlineOrder{}),
+		crashes:   crash.New(),
+		alone:     immutable.NewMap[model.UpstreamName, model.Ticket](nil),
 	}
 }
 
@@ -113,12 +124,14 @@
 		s = s.attemptEnded(e, facts, &out)
 	case event.CallerGone:
 		s = s.callerGone(e.Ticket, &out)
+	case event.CrashCountsArrived:
+		s.crashes = s.crashes.WithPeer(e.From, e.Counts, in.At)
 	case event.DrainAsked:
 		s.draining = true
 	case event.KeyChanged:
 		s = s.keyChanged(e, &out)
 	case event.Tick:
-		s = s.expired(facts, &out)
+		s = s.expired(facts, &out).crashesExpired(in.At, &out)
 	case event.UpstreamChanged:
 		s = s.served(facts, &out)
 	}
@@ -138,6 +151,7 @@
 		return s
 	}
 	s.open = s.open.Set(e.Ticket, c)
+	s.retries = s.retries.WithRequest(facts.At)
 	if c.account == "" {
 		return s.granted(e.Ticket, facts, out)
 	}
@@ -185,6 +199,9 @@
 	if c.mustClaim && request.IdempotencyKey == "" {
 		return c, model.MissingIdempotencyKey, false
 	}
+	if s.crashes.Verdict(request.Fingerprint, facts.At) == crash.Refuse {
+		return c, model.CrashSuspect, false
+	}
 	return c, 0, true
 }
 
@@ -238,21 +255,28 @@
 	if !ok {
 		return s
 	}
+	if s.crashes.Verdict(c.request.Fingerprint, facts.At) == crash.Refuse {
+		return s.failed(ticket, c, refusal(model.CrashSuspect, model.NotRun, retryAfter(model.CrashSuspect)), out)
+	}
 	upstream, ok := s.place(c, facts)
 	if !ok {
 		return s.queued(ticket, c, facts, out)
 	}
 	c.tried = append(c.tried[:len(c.tried):len(c.tried)], upstream.Name)
-	return s.sent(ticket, c, upstream, out)
+	return s.sent(ticket, c, upstream, facts, out)
 }
 
 // sent starts the next attempt of a request at an upstream.
-func (s State) sent(ticket model.Ticket, c call, upstream model.Upstream, out *Out) State {
+func (s State) sent(ticket model.Ticket, c call, upstream model.Upstream, facts Facts, out *Out) State {
 	c.phase = running
 	c.attempt++
+	c.crashCounted = false
 	c.upstream = upstream.Name
 	s.open = s.open.Set(ticket, c)
 	s = s.withLoad(upstream.Name, 1)
+	if s.crashes.Verdict(c.request.Fingerprint, facts.At) == crash.Alone {
+		s.alone = s.alone.Set(upstream.Name, ticket)
+	}
 	out.Emit(effect.Dispatch{
 		Ticket:     ticket,
 		Attempt:    c.attempt,
@@ -268,7 +292,13 @@
 	if !ok || c.phase != running || e.Attempt != c.attempt {
 		return s
 	}
+	if e.Crashed && !c.crashCounted {
+		s = s.crashed(c.upstream, facts, out)
+	}
 	s = s.withLoad(c.upstream, -1)
+	if holder, ok := s.alone.Get(c.upstream); ok && holder == e.Ticket {
+		s.alone = s.alone.Delete(c.upstream)
+	}
 	if e.Outcome == model.Rejected {
 		s.fullUntil = s.fullUntil.Set(c.upstream, facts.At.Add(fullTerm))
 	}
@@ -292,6 +322,10 @@
 	notRun := e.Outcome == model.NotSent || e.Outcome == model.Rejected
 	mayRepeat := notRun || !c.mustClaim
 	if mayRepeat && c.attempt < maxAttempts {
+		var ok bool
+		if s.retries, ok = s.retries.WithRetry(facts.At); !ok {
+			return s.failed(e.Ticket, c, refusal(model.RetryBudgetSpent, model.NotRun, 1), out)
+		}
 		out.Emit(effect.CountRetry{Reason: retryReason(e.Outcome)})
 		return s.dispatched(e.Ticket, facts, out)
 	}
@@ -309,9 +343,12 @@
 	if !mayResume {
 		return s.failed(e.Ticket, c, refusal(model.StreamTruncated, model.OutcomeUnknown, 0), out)
 	}
+	if s.retries, ok = s.retries.WithRetry(facts.At); !ok {
+		return s.failed(e.Ticket, c, refusal(model.RetryBudgetSpent, model.OutcomeUnknown, 1), out)
+	}
 	c.resumed = e.TokensPassed
 	out.Emit(effect.CountRetry{Reason: model.RetryResumed})
-	return s.sent(e.Ticket, c, upstream, out)
+	return s.sent(e.Ticket, c, upstream, facts, out)
 }
 
 func (s State) completed(e event.AttemptEnded, c call, out *Out) State {
@@ -379,6 +416,9 @@
 	case admitting:
 		out.Raise(event.AdmissionDropped{Ticket: ticket})
 		return s.finished(ticket, out)
+	case claiming:
+		out.Raise(event.ClaimEnded{Ticket: ticket, NotRun: true})
+		return s.finished(ticket, out)
 	case waiting:
 		s = s.unqueued(ticket, c)
 		if c.mustClaim {
@@ -438,6 +478,8 @@
 	switch reason {
 	case model.ClaimUnavailable, model.Draining, model.NotFresh, model.Overloaded:
 		return 1
+	case model.CrashSuspect:
+		return int(crash.Term / time.Second)
 	default:
 		return 0
 	}
--- a/core/flow/place.go
+++ b/core/flow/place.go
@@ -7,6 +7,7 @@
 	"github.com/benbjohnson/immutable"
 
 	"caroblane/core/conf"
+	"caroblane/core/crash"
 	"caroblane/core/model"
 	"caroblane/core/place"
 )
@@ -29,6 +30,9 @@
 	fullUntil *immutable.Map[model.UpstreamName, time.Time]
 	tried     []model.UpstreamName
 	at        time.Time
+	// suspect requests go only where no other request runs.
+	suspect bool
+	alone   *immutable.Map[model.UpstreamName, model.Ticket]
 }
 
 // engines lists the upstreams of a model.
@@ -46,7 +50,8 @@
 
 // place picks the upstream for the next attempt of a request.
 func (s State) place(c call, facts Facts) (model.Upstream, bool) {
-	now := &facing{s.load, s.fullUntil, c.tried, facts.At}
+	suspect := s.crashes.Verdict(c.request.Fingerprint, facts.At) == crash.Alone
+	now := &facing{s.load, s.fullUntil, c.tried, facts.At, suspect, s.alone}
 	var list place.List[candidate] = engines{facts.Conf.UpstreamsOf(c.request.Model), now}
 	if c.request.Kind == model.RequestPlain {
 		list = services{c.services, facts.Conf, now}
@@ -85,7 +90,7 @@
 		return 0, false
 	}
 	running, _ := c.load.Get(c.Name)
-	if running >= c.Slots {
+	if _, taken := c.alone.Get(c.Name); taken || running >= c.Slots || c.suspect && running > 0 {
 		return 1, false
 	}
 	return float64(running) / float64(c.Slots), true
--- a/core/flow/wait.go
+++ b/core/flow/wait.go
@@ -38,10 +38,10 @@
 func (s State) Next() time.Time {
 	itr := s.deadlines.Iterator()
 	if itr.Done() {
-		return time.Time{}
+		return s.crashes.Next()
 	}
 	first, _, _ := itr.Next()
-	return step.Earliest(first.at, s.serveAt)
+	return step.Earliest(first.at, s.serveAt, s.crashes.Next())
 }
 
 // Waiting returns the number of requests that wait for an upstream.
--- a/core/model/enums.go
+++ b/core/model/enums.go
@@ -94,6 +94,7 @@
 	NotFresh
 	Overloaded
 	RateLimited
+	RetryBudgetSpent
 	StreamTruncated
 	UnknownModel
 	UnknownRoute
--- a/core/model/enums_string.go
+++ b/core/model/enums_string.go
@@ -117,16 +117,17 @@
 	_ = x[NotFresh-16]
 	_ = x[Overloaded-17]
 	_ = x[RateLimited-18]
-	_ = x[StreamTruncated-19]
-	_ = x[UnknownModel-20]
-	_ = x[UnknownRoute-21]
-	_ = x[UpstreamFailed-22]
-	_ = x[UpstreamLost-23]
+	_ = x[RetryBudgetSpent-19]
+	_ = x[StreamTruncated-20]
+	_ = x[UnknownModel-21]
+	_ = x[UnknownRoute-22]
+	_ = x[UpstreamFailed-23]
+	_ = x[UpstreamLost-24]
 }
 
-const _Reason_name = "BodyTooLargeClaimTableFullClaimUnavailableCrashSuspectDeadlineExceededDrainingEarlierOutcomeUnknownIdempotencyMismatchInternalKeyUnknownKeyWasWithdrawnMalformedRequestMissingIdempotencyKeyMissingKeyModelNotAllowedNoUpstreamNotFreshOverloadedRateLimitedStreamTruncatedUnknownModelUnknownRouteUpstreamFailedUpstreamLost"
+const _Reason_name = "BodyTooLargeClaimTableFullClaimUnavailableCrashSuspectDeadlineExceededDrainingEarlierOutcomeUnknownIdempotencyMismatchInternalKeyUnknownKeyWasWithdrawnMalformedRequestMissingIdempotencyKeyMissingKeyModelNotAllowedNoUpstreamNotFreshOverloadedRateLimitedRetryBudgetSpentStreamTruncatedUnknownModelUnknownRouteUpstreamFailedUpstreamLost"
 
-var _Reason_index = [...]uint16{0, 12, 26, 42, 54, 70, 78, 99, 118, 126, 136, 151, 167, 188, 198, 213, 223, 231, 241, 252, 267, 279, 291, 305, 317}
+var _Reason_index = [...]uint16{0, 12, 26, 42, 54, 70, 78, 99, 118, 126, 136, 151, 167, 188, 198, 213, 223, 231, 241, 252, 268, 283, 295, 307, 321, 333}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
