--- a/core/limit/lend.go
+++ b/core/limit/lend.go
@@ -18,9 +18,7 @@
 	d, known := a.debtOf(borrower{e.From, e.FromIncarnation})
 	if known && e.GivenBack {
 		// The tokens come back once: a repeat has no loans left to return.
-		if lent := d.tokensBefore(e.Seq); e.Seq > d.seq && e.Returned > 0 {
-			a.level += min(e.Returned, lent)
-		}
+		a.level += max(0, min(e.Returned, d.tokensBefore(e.Seq)))
 		d = d.withoutBefore(e.Seq)
 		a = a.withDebt(d).withClip()
 	}
@@ -44,8 +42,8 @@
 	case amount.Level >= 1-tokenSlack || amount.Rate > 0:
 		a, amount = a.withLoan(d, e.Seq, amount, d.until)
 		t.out.Emit(effect.Lend{Ticket: e.Ticket, Account: a.name, Seq: e.Seq, Amount: amount})
-	case t.fresh && e.Want.Level >= 1 && a.base.Burst >= 1 && a.borrowers < s.options.MaxWaiting &&
-		(known || len(a.debts) < maxDebts):
+	case t.fresh && e.Want.Level >= 1 && a.base.Burst >= 1 && (known || len(a.debts) < maxDebts) &&
+		a.borrowers < s.options.MaxWaiting && s.waiting.Len() < s.options.MaxWaitingTotal:
 		d.waiting = e.Ticket
 		a = a.withDebt(d)
 		by := t.at.Add(s.options.LoanTerm / 2)
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -34,9 +34,10 @@
 	LoanTerm time.Duration
 	// Drift bounds by how much the clock rates of two nodes differ.
 	Drift float64
-	// MaxWaiting bounds the waiting requests of an account, and those of all
-	// accounts together. Borrow requests of other nodes count separately.
-	MaxWaiting      int
+	// MaxWaiting bounds the waiting requests of an account, and separately the
+	// borrow requests of other nodes that wait for it.
+	MaxWaiting int
+	// MaxWaitingTotal bounds all that waits on this node.
 	MaxWaitingTotal int
 }
 
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -432,6 +432,59 @@
 	}
 }
 
+// TestReserved guards against lending to others what a borrower may still use
+// while a further loan is on its way to it.
+func TestReserved(t *testing.T) {
+	loan := func(rate, burst, level float64) lentLoan {
+		return lentLoan{amount: model.Allowance{Rate: rate, Burst: burst, Level: level}}
+	}
+	for _, c := range []struct {
+		name  string
+		loans []lentLoan
+		want  model.Allowance
+	}{
+		{"no loan", nil, model.Allowance{}},
+		{"one loan", []lentLoan{loan(3, 2, 1)}, model.Allowance{Rate: 3, Burst: 2}},
+		{"tokens on top of an earlier loan", []lentLoan{loan(3, 2, 1), loan(1, 1, 1)}, model.Allowance{Rate: 3, Burst: 3}},
+		{"larger renewal", []lentLoan{loan(1, 1, 1), loan(3, 5, 1)}, model.Allowance{Rate: 3, Burst: 5}},
+	} {
+		if got := (debt{loans: c.loans}).reserved(); got != c.want {
+			t.Errorf("%s: reserved %+v, want %+v", c.name, got, c.want)
+		}
+	}
+}
+
+// TestUnneeded guards against giving a loan back while an answer of the same
+// lender is on its way: the lender would take both as given back, and this
+// node would use the second one.
+func TestUnneeded(t *testing.T) {
+	permit := heldLoan{lender: "vm-1", amount: model.Allowance{Burst: 1, Level: 1}}
+	rate := heldLoan{lender: "vm-1", amount: model.Allowance{Rate: 1, Burst: 1}}
+	asksRate := ask{lender: "vm-1", seq: 7, want: model.Allowance{Rate: 1}}
+	asksPermit := ask{lender: "vm-1", seq: 7, want: model.Allowance{Level: 1}}
+	for _, c := range []struct {
+		name    string
+		account account
+		back    int
+		held    int
+		open    bool
+	}{
+		{"unused permit", account{held: []heldLoan{permit}, level: 1}, 1, 0, false},
+		{"permit with waiters and a token", account{held: []heldLoan{permit}, level: 1, callers: 1}, 0, 1, false},
+		{"used permit with waiters", account{held: []heldLoan{permit}, callers: 1}, 1, 0, false},
+		{"rate", account{held: []heldLoan{rate}}, 0, 1, false},
+		{"permit, rate on its way", account{held: []heldLoan{permit}, asks: []ask{asksRate}}, 0, 1, true},
+		{"permit on its way", account{asks: []ask{asksPermit}}, 1, 0, false},
+		{"permit on its way with waiters", account{asks: []ask{asksPermit}, callers: 1}, 0, 0, true},
+		{"rate, permit on its way", account{held: []heldLoan{rate}, asks: []ask{asksPermit}}, 0, 1, true},
+	} {
+		a, back := c.account.withoutUnneeded()
+		if len(back) != c.back || len(a.held) != c.held || (a.askOf("vm-1").seq != 0) != c.open {
+			t.Errorf("%s: gives back %+v, holds %+v, asks %+v", c.name, back, a.held, a.asks)
+		}
+	}
+}
+
 // capacity returns how many tokens a node's bucket holds now.
 func (r *region) capacity(n *node) float64 {
 	a, _ := n.state.accounts.Get(acct)
