Keep an order outstanding while a lost transmission may arrive

Cause: a holder that lost the answer to an order sent it again, got it accepted and went on to the next order. At an engine that does not check epochs, the first transmission could then arrive after the next order. Change: such an order stays outstanding until SendTerm after the last moment of the lost transmission. An order asked for an engine that checks epochs no longer waits as an inherited one. The safety test has composite actions that lead to takeovers with late transmissions and late usage records. The earlier variant unconditional is replaced by recompute, because overwriting an old record is harmless: only the last one is read.

--- a/core/order/engine.go
+++ b/core/order/engine.go
@@ -19,6 +19,9 @@
 	caller   caller
 	// epoch is that of the authority, or zero without one.
 	epoch model.Epoch
+	// quietAt is when transmissions from before a gap in the authority have
+	// arrived.
+	quietAt time.Time
 	// listed tells that the orders that earlier holders left are known.
 	listed  bool
 	listing model.Op
@@ -43,6 +46,10 @@
 	deadline time.Time
 	// sending is the call to the engine in flight.
 	sending model.Op
+	// notAfter bounds the transmission under way. With one whose answer was
+	// lost, the order may arrive again until quietAt.
+	notAfter time.Time
+	quietAt  time.Time
 	// result is the engine's answer to the recorded order.
 	answered bool
 	result   model.SendResult
@@ -105,6 +112,7 @@
 	next := newEngines(s.settings, s.caller.incarnation)
 	next.caller = s.caller
 	next.epoch = epoch
+	next.quietAt = t.in.At.Add(s.settings.arrivalTerm())
 	return next
 }
 
@@ -125,13 +133,17 @@
 		return s
 	}
 	if !ok {
-		tg = newTarget(e.Upstream)
+		tg = newTarget(e.Upstream).withQuiet(s.quietAt)
 	}
 	if tg.wants {
 		tg.drop(t)
 	}
 	s.caller, _ = s.caller.next()
 	tg.nonce = s.caller.nonce()
+	if e.ChecksEpoch && !tg.checks {
+		// An inherited order waits as if the engine did not check epochs.
+		tg.retryAt = time.Time{}
+	}
 	tg.wants, tg.wanted, tg.checks = true, e.Intent, e.ChecksEpoch
 	tg.deadline = t.in.At.Add(s.settings.OrderTerm)
 	return s.advance(tg, t)
@@ -160,7 +172,7 @@
 		if s.targets.Len() >= s.settings.MaxOrders {
 			break
 		}
-		tg := newTarget(name)
+		tg := newTarget(name).withQuiet(s.quietAt)
 		tg.copied = tg.copied.WithValue(object.Version, order)
 		// Whether the engine checks epochs is not recorded, so the order waits
 		// as if it did not.
@@ -198,7 +210,7 @@
 			tg.answered, tg.result = true, e.Result
 			tg.failures = 0
 		default:
-			tg = tg.withPause(t, settings)
+			tg = tg.withQuiet(tg.notAfter.Add(settings.arrivalTerm())).withPause(t, settings)
 		}
 		return tg
 	}
@@ -211,6 +223,14 @@
 	return tg
 }
 
+// withQuiet extends the time in which a lost transmission may arrive.
+func (tg target) withQuiet(until time.Time) target {
+	if until.After(tg.quietAt) {
+		tg.quietAt = until
+	}
+	return tg
+}
+
 func (tg target) withPause(t *turn, settings Settings) target {
 	tg.retryAt = t.in.At.Add(settings.pause(tg.failures, t.in.Draw))
 	tg.failures++
@@ -220,7 +240,7 @@
 // advance makes the next call for a target.
 func (s engines) advance(tg target, t *turn) engines {
 	at := t.in.At
-	if !at.Before(tg.deadline) {
+	if !at.Before(tg.deadline) && !at.Before(tg.quietAt) && tg.sending == (model.Op{}) {
 		tg.drop(t)
 		s.targets = s.targets.Delete(tg.name)
 		return s
@@ -258,6 +278,12 @@
 	next := recorded
 	next.Epoch = s.epoch
 	switch {
+	case tg.answered && !tg.checks && t.in.At.Before(tg.quietAt):
+		// The order stays outstanding while a lost transmission of it may
+		// arrive, because the engine would take it after the next order.
+		tg.retryAt = tg.quietAt
+		s.targets = s.targets.Set(tg.name, tg)
+		return s
 	case tg.answered && tg.result == model.SendRefused:
 		next.State = model.OrderRefused
 	case tg.answered:
@@ -339,13 +365,14 @@
 
 func (tg target) withSend(op model.Op, recorded model.Order, t *turn, settings Settings) (target, effect.Effect) {
 	tg.sending = op
+	tg.notAfter = t.notAfter(settings)
 	return tg, effect.SendOrder{
 		Op:       op,
 		Upstream: tg.name,
 		Seq:      recorded.Seq,
 		Epoch:    recorded.Epoch,
 		Intent:   recorded.Intent,
-		NotAfter: t.notAfter(settings),
+		NotAfter: tg.notAfter,
 	}
 }
 
@@ -361,7 +388,11 @@
 	}
 	for itr := s.targets.Iterator(); !itr.Done(); {
 		_, tg, _ := itr.Next()
-		s.next = step.Earliest(s.next, tg.deadline)
+		if t.in.At.Before(tg.deadline) {
+			s.next = step.Earliest(s.next, tg.deadline)
+		} else if t.in.At.Before(tg.quietAt) {
+			s.next = step.Earliest(s.next, tg.quietAt)
+		}
 		if !tg.copied.Busy() && tg.sending == (model.Op{}) {
 			s.next = step.Earliest(s.next, tg.retryAt)
 		}
--- a/core/order/settings.go
+++ b/core/order/settings.go
@@ -56,6 +56,12 @@
 	return time.Duration(float64(s.SendTerm+s.LeaseTerm) * (1 + s.Drift))
 }
 
+// arrivalTerm is how long after its last moment a transmission may still arrive
+// at an upstream.
+func (s Settings) arrivalTerm() time.Duration {
+	return time.Duration(float64(s.SendTerm) * (1 + s.Drift))
+}
+
 // pause returns the time between half of the pause after a number of failures
 // and the whole.
 func (s Settings) pause(failures int, draw uint64) time.Duration {
--- a/core/safety/order_test.go
+++ b/core/safety/order_test.go
@@ -55,8 +55,8 @@
 // orderNode is a process with its clock.
 type orderNode struct {
 	life int
-	// paused nodes take no events. The store's answers do not reach nodes that
-	// are cut off.
+	// paused nodes take no events. Calls of nodes that are cut off do not reach
+	// the store while time runs.
 	paused, cut bool
 	lease       lease.State
 	order       order.State
@@ -81,6 +81,8 @@
 	intents    int
 	// down tells that engines are slow to take orders.
 	down bool
+	// holds tells which calls stay under way during a run.
+	holds func(call) bool
 }
 
 func newOrderWorld(t *rapid.T) *orderWorld {
@@ -259,10 +261,14 @@
 		progress := false
 		for _, c := range w.wire.calls {
 			w.wire.calls = w.wire.calls[1:]
+			if n := w.nodes[c.node]; n.cut && toStore(c.effect) || w.holds != nil && w.holds(c) {
+				w.wire.calls = append(w.wire.calls, c)
+				continue
+			}
 			if c.answer == nil {
 				c.answer = w.arrive(t, c)
 			}
-			if n := w.nodes[c.node]; n.paused || n.cut && toStore(c.effect) {
+			if w.nodes[c.node].paused {
 				w.wire.calls = append(w.wire.calls, c)
 				continue
 			}
@@ -290,6 +296,81 @@
 	}
 }
 
+// holder returns the node that holds the lease.
+func (w *orderWorld) holder(t *rapid.T) int {
+	for node, n := range w.nodes {
+		if n.lease.Held(w.clock(node)) && !n.paused && !n.cut {
+			return node
+		}
+	}
+	t.Skip("no node holds the lease")
+	return 0
+}
+
+// takeOver cuts the holder off from the store while it sends an order that the
+// engine does not answer, and lets its transmissions arrive after the orders of
+// the next holder.
+func (w *orderWorld) takeOver(t *rapid.T) {
+	old := w.holder(t)
+	w.down = true
+	w.ask(t, old, plainEngine)
+	w.run(t, time.Duration(rapid.IntRange(500, 3500).Draw(t, "ms"))*time.Millisecond)
+	w.nodes[old].cut = true
+	// Without a candidate that is awake, nobody takes over.
+	for range 300 {
+		w.run(t, 100*time.Millisecond)
+		next := slices.IndexFunc(w.nodes, func(n *orderNode) bool {
+			return n != w.nodes[old] && n.lease.Held(w.clock(slices.Index(w.nodes, n)))
+		})
+		if next >= 0 {
+			w.down = false
+			w.ask(t, next, plainEngine)
+			break
+		}
+	}
+	w.down = false
+	w.run(t, 500*time.Millisecond)
+	for _, late := range w.sends {
+		if w.now <= late.until {
+			w.engines[late.order.Upstream].take(t, late.order)
+		}
+	}
+	w.sends = nil
+	w.nodes[old].cut = false
+}
+
+// freezeLate lets a write of a holder to a usage record arrive at the store
+// after the next holder has gone on, and starts all nodes anew.
+func (w *orderWorld) freezeLate(t *rapid.T) {
+	old := w.holder(t)
+	for node, n := range w.nodes {
+		if !n.paused {
+			w.apply(t, node, event.UsageCounted{Line: model.UsageLine{Account: "a", Requests: 1}})
+		}
+	}
+	state := rapid.SampledFrom([]model.UsageState{model.UsageFrozen, model.UsageReported}).Draw(t, "state")
+	w.holds = func(c call) bool {
+		write, ok := c.effect.(effect.WriteObject)
+		usage, frozen := write.Value.(model.Usage)
+		return ok && frozen && c.node == old && c.answer == nil && usage.State == state
+	}
+	w.run(t, 90*time.Second)
+	w.holds = nil
+	w.nodes[old].paused = true
+	w.wire.abandon(old)
+	w.run(t, time.Duration(rapid.IntRange(15, 90).Draw(t, "seconds"))*time.Second)
+	for node := range w.nodes {
+		w.wire.abandon(node)
+	}
+	for len(w.wire.late) > 0 {
+		w.wire.arriveLate(t)
+	}
+	for node := range w.nodes {
+		w.start(t, node)
+	}
+	w.run(t, 30*time.Second)
+}
+
 func toStore(f effect.Effect) bool {
 	switch f.(type) {
 	case effect.WriteObject, effect.ReadObject, effect.ListObjects:
@@ -378,7 +459,9 @@
 				n := w.nodes[draw.Draw(t, "node")]
 				n.cut = !n.cut
 			},
-			"down": func(t *rapid.T) { w.down = !w.down },
+			"down":        func(t *rapid.T) { w.down = !w.down },
+			"take over":   w.takeOver,
+			"freeze late": w.freezeLate,
 			"kill": func(t *rapid.T) {
 				node := draw.Draw(t, "node")
 				w.wire.abandon(node)
--- a/core/safety/store_test.go
+++ b/core/safety/store_test.go
@@ -46,6 +46,9 @@
 
 func (s *store) get(kind model.Kind, name string) (model.Change, bool) {
 	object, ok := s.objects[nameOf(kind, name)]
+	if usage, frozen := object.Value.(model.Usage); frozen && usage.State == model.UsageFrozen && *naive == "recompute" {
+		return model.Change{}, false
+	}
 	return object, ok
 }
 
@@ -53,7 +56,7 @@
 func (s *store) list(kind model.Kind) []model.Change {
 	var objects []model.Change
 	for _, object := range s.objects {
-		if object.Kind == kind {
+		if _, ok := s.get(kind, object.Name); ok && object.Kind == kind {
 			objects = append(objects, object)
 		}
 	}
@@ -64,7 +67,7 @@
 // write applies a conditional update and tells whether it took effect.
 func (s *store) write(w effect.WriteObject) (model.Change, bool) {
 	held := s.objects[nameOf(w.Kind, w.Name)]
-	if *naive == "unconditional" && w.Kind == model.KindUsage {
+	if *naive == "recompute" && w.Kind == model.KindUsage {
 		w.IfVersion = held.Version
 	}
 	if held.Version != w.IfVersion {
