--- a/core/conf/conf.go
+++ b/core/conf/conf.go
@@ -64,8 +64,8 @@
 	byModel *immutable.Map[model.ModelName, []Placeable]
 	models  *immutable.Map[model.ModelName, model.Model]
 	// routes is sorted by falling length of the prefix.
-	routes []model.Route
-	roster model.Roster
+	routes  []model.Route
+	rosters *immutable.Map[model.RegionName, model.Roster]
 }
 
 // New returns a state without configuration.
@@ -79,6 +79,7 @@
 		upstreams: immutable.NewMap[model.UpstreamName, model.Upstream](nil),
 		byModel:   immutable.NewMap[model.ModelName, []Placeable](nil),
 		models:    immutable.NewMap[model.ModelName, model.Model](nil),
+		rosters:   immutable.NewMap[model.RegionName, model.Roster](nil),
 	}
 }
 
@@ -145,8 +146,11 @@
 // Next returns the zero time: configuration needs no timer.
 func (s State) Next() time.Time { return time.Time{} }
 
-// Roster returns the roster in force.
-func (s State) Roster() model.Roster { return s.roster }
+// Roster returns the roster of a region in force.
+func (s State) Roster(region model.RegionName) model.Roster {
+	roster, _ := s.rosters.Get(region)
+	return roster
+}
 
 // Route returns the route with the longest prefix of path.
 func (s State) Route(path string) (model.Route, bool) {
@@ -258,7 +262,8 @@
 		s = s.withRoute(old, next.value)
 	case model.KindRoster:
 		if roster, ok := next.value.(model.Roster); ok {
-			s.roster = roster
+			roster.Region = model.RegionName(id.name)
+			s.rosters = s.rosters.Set(roster.Region, roster)
 			out.Raise(event.RosterChanged{Version: next.seen, Contiguous: next.contiguous, Roster: roster})
 		}
 	default:
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -39,6 +39,9 @@
 	for len(pending) > 0 {
 		next := in.With(pending[0])
 		pending = pending[1:]
+		if s.foreign(next.Event) {
+			continue
+		}
 		var out step.Out[event.Event, effect.Effect]
 		s, out = s.fold(next)
 		effects = append(effects, out.Effects...)
@@ -67,6 +70,13 @@
 // Peers returns the members and the freshness of the node.
 func (s State) Peers() peers.State { return s.peers }
 
+// foreign tells that an event is about another region's roster. The parts know
+// only their own.
+func (s State) foreign(e event.Event) bool {
+	changed, ok := e.(event.RosterChanged)
+	return ok && changed.Roster.Region != s.peers.Region()
+}
+
 // fold passes one event through the parts in order.
 func (s State) fold(in Input) (State, step.Out[event.Event, effect.Effect]) {
 	var all, out step.Out[event.Event, effect.Effect]
--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -165,6 +165,9 @@
 // accounted for.
 func (s State) Outage(at time.Time) bool { return s.Fresh(at) && !at.Before(s.freshUntil) }
 
+// Region returns the region of this node.
+func (s State) Region() model.RegionName { return s.region }
+
 // nextDue returns the time of the next exchange, roster write, ripe mark or end
 // of freshness.
 func (s State) nextDue(now time.Time) time.Time {
--- a/core/peers/safety_test.go
+++ b/core/peers/safety_test.go
@@ -82,6 +82,7 @@
 		}
 	case leave:
 		p.post(event.LeaveAsked{})
+		p.left = p.left || p.running()
 		w.after(f.wait/2, func() { p.dead = true })
 	case writeConfig:
 		w.write(model.KindModel, fmt.Sprintf("m%d", f.j), model.Model{MaxTokens: 1 + len(w.writes)})
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -238,7 +238,7 @@
 
 // member returns the member of a name in the roster in force.
 func (n *Node) member(name model.NodeName) (model.Member, bool) {
-	for _, member := range n.loop.Snapshot().Conf().Roster().Members {
+	for _, member := range n.loop.Snapshot().Conf().Roster(n.settings.Node.Region).Members {
 		if member.Name == name {
 			return member, true
 		}
