--- a/core/conf/conf.go
+++ b/core/conf/conf.go
@@ -53,11 +53,9 @@
 	objects *immutable.Map[objectID, entry]
 	// order holds the last write of every object, graves those that are
 	// deletions.
-	order     *immutable.SortedMap[write, struct{}]
-	graves    *immutable.SortedMap[write, struct{}]
-	keys      *immutable.Map[model.KeyHash, model.Key]
-	templates *immutable.Map[model.AccountName, model.Template]
-	upstreams *immutable.Map[model.UpstreamName, model.Upstream]
+	order  *immutable.SortedMap[write, struct{}]
+	graves *immutable.SortedMap[write, struct{}]
+	keys   *immutable.Map[model.KeyHash, model.Key]
 	// byModel lists the upstreams of a model in order of their names. The lists
 	// hold the upstreams themselves: placement reads hundreds of them for one
 	// request.
@@ -71,15 +69,13 @@
 // New returns a state without configuration.
 func New() State {
 	return State{
-		objects:   immutable.NewMap[objectID, entry](idHasher{}),
-		order:     immutable.NewSortedMap[write, struct{}](writeComparer{}),
-		graves:    immutable.NewSortedMap[write, struct{}](writeComparer{}),
-		keys:      immutable.NewMap[model.KeyHash, model.Key](hashHasher{}),
-		templates: immutable.NewMap[model.AccountName, model.Template](nil),
-		upstreams: immutable.NewMap[model.UpstreamName, model.Upstream](nil),
-		byModel:   immutable.NewMap[model.ModelName, []Placeable](nil),
-		models:    immutable.NewMap[model.ModelName, model.Model](nil),
-		rosters:   immutable.NewMap[model.RegionName, model.Roster](nil),
+		objects: immutable.NewMap[objectID, entry](idHasher{}),
+		order:   immutable.NewSortedMap[write, struct{}](writeComparer{}),
+		graves:  immutable.NewSortedMap[write, struct{}](writeComparer{}),
+		keys:    immutable.NewMap[model.KeyHash, model.Key](hashHasher{}),
+		byModel: immutable.NewMap[model.ModelName, []Placeable](nil),
+		models:  immutable.NewMap[model.ModelName, model.Model](nil),
+		rosters: immutable.NewMap[model.RegionName, model.Roster](nil),
 	}
 }
 
@@ -164,12 +160,14 @@
 
 // Template returns the template of an account.
 func (s State) Template(account model.AccountName) (model.Template, bool) {
-	return s.templates.Get(account)
+	return valueOf[model.Template](s, model.KindTemplate, string(account))
 }
 
 // Upstream returns the upstream of the given name.
 func (s State) Upstream(name model.UpstreamName) (model.Upstream, bool) {
-	return s.upstreams.Get(name)
+	upstream, ok := valueOf[model.Upstream](s, model.KindUpstream, string(name))
+	upstream.Name = name
+	return upstream, ok
 }
 
 // UpstreamsOf returns the upstreams that serve a model. The caller must not
@@ -236,11 +234,6 @@
 	case model.KindTemplate:
 		account := model.AccountName(id.name)
 		template, ok := next.value.(model.Template)
-		if ok {
-			s.templates = s.templates.Set(account, template)
-		} else {
-			s.templates = s.templates.Delete(account)
-		}
 		out.Raise(event.TemplateChanged{
 			Account:    account,
 			Version:    next.seen,
@@ -302,11 +295,9 @@
 	}
 	upstream, ok := value.(model.Upstream)
 	if !ok {
-		s.upstreams = s.upstreams.Delete(name)
 		return s
 	}
 	upstream.Name = name
-	s.upstreams = s.upstreams.Set(name, upstream)
 	placeable := Placeable{Upstream: upstream, NameHash: xxhash.Sum64String(string(name))}
 	for _, m := range upstream.Models {
 		list, _ := s.byModel.Get(m)
@@ -316,3 +307,10 @@
 	}
 	return s
 }
+
+// valueOf returns the value in force of an object.
+func valueOf[V any](s State, kind model.Kind, name string) (V, bool) {
+	held, _ := s.objects.Get(objectID{kind, name})
+	value, ok := held.value.(V)
+	return value, ok
+}
--- a/core/node/node_test.go
+++ b/core/node/node_test.go
@@ -26,7 +26,7 @@
 		},
 		Upto: 2, SentAt: at, FromStore: true,
 	}})
-	if members := s.Peers().Members(at); len(members) != 0 {
+	if members := s.Peers().Others(at); len(members) != 0 {
 		t.Errorf("members of another region: %+v", members)
 	}
 	if got := s.Conf().Roster("r").Members; len(got) != 1 || got[0] != self {
--- a/io/admin/status.go
+++ b/io/admin/status.go
@@ -29,6 +29,9 @@
 	// Faults maps Kind/Name of each object whose last write is not in force to
 	// the reason.
 	Faults map[string]string
+	// CertificateFault tells why the last change of the certificate files is not
+	// in use. It is empty without a fault.
+	CertificateFault string `json:",omitempty"`
 	// Members are the other nodes of the roster as this node sees them.
 	Members []Member
 }
@@ -38,11 +41,12 @@
 	Name    model.NodeName
 	Address string
 	Zone    model.ZoneName
-	// Version is the last one that the member reported.
+	// Version is a lower bound of the one that the member uses.
 	Version model.Version
-	// Accounted tells that the member is heard from or proved stopped.
-	Accounted bool
-	// HeardAt is when it last answered; zero if it never did.
+	// Stopped tells that the member's process is proved or stated to have
+	// stopped.
+	Stopped bool
+	// HeardAt is when it was last heard; zero if it never was.
 	HeardAt time.Time `json:",omitzero"`
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -25,6 +25,7 @@
 	"caroblane/core/node"
 	"caroblane/core/peers"
 	"caroblane/io/admin"
+	"caroblane/io/certs"
 	"caroblane/io/desk"
 	"caroblane/io/front"
 	"caroblane/io/link"
@@ -69,6 +70,10 @@
 	platform    *plat.Client
 	relay       *relay.Client
 	front       *front.Server
+	// certificate is nil where callers use plain text, and authority where
+	// peers do.
+	certificate *certs.Callers
+	authority   *certs.Peers
 	link        *link.Client
 	peers       http.Handler
 	departed    departure
@@ -141,22 +146,30 @@
 	initial := node.New(peers.New(self, settings.Node.Region), limit.New(self.Name, limit.Mix(), limit.DefaultOptions()), claim.New(claim.DefaultSettings(), incarnation))
 	n.loop = loop.New[node.State, event.Event, effect.Effect](
 		initial, all, event.Tick{}, settings.Limits.QueueCapacity, random(), clock.Now)
+	n.meter = meter.New(n.reading)
+	posts := counted{control{n.loop}, n.meter}
 	n.platform = plat.New(
 		plat.DefaultSettings("http://"+settings.Platform.Address.String(), string(settings.Node.Name)),
-		n.loop, random(), clock)
-	n.meter = meter.New(n.reading)
+		posts, random(), clock)
+	var err error
+	if n.authority, err = peerAuthority(settings.TLS, clock.Now); err != nil {
+		return nil, err
+	}
+	scheme, transport := peerTransport(n.authority)
 	n.link = link.New(link.Options{
 		Self:   self,
-		Scheme: "http",
-		HTTP:   &http.Client{Transport: link.NewTransport()},
+		Scheme: scheme,
+		HTTP:   &http.Client{Transport: transport},
 		Find:   n.member,
 		Now:    clock.Now,
-	}, n.loop)
-	n.peers = link.NewHandler(self, n.loop, replyDesk)
-	*all = executors{replies{replyDesk}, n.meter, n.platform, n.link, n.departed}
+	}, posts)
+	n.peers = link.NewHandler(self, posts, replyDesk)
+	*all = executors{replies{replyDesk}, n.meter, counter{n.meter}, n.platform, n.link, n.departed}
 	n.relay = relay.New(relay.Dialer())
-	var err error
-	n.front, err = front.New(control{n.loop}, replyDesk, n.relay, observer{n.meter}, front.Options{
+	if n.certificate, err = callerCertificate(settings.TLS, clock.Now); err != nil {
+		return nil, err
+	}
+	n.front, err = front.New(posts, replyDesk, n.relay, observer{n.meter}, front.Options{
 		MaxBody:       int64(settings.Limits.MaxBody),
 		AdmitWithin:   settings.Limits.AdmitWithin,
 		RequestWithin: settings.Limits.RequestWithin,
@@ -182,12 +195,12 @@
 	running.Go(func() { n.platform.Run(control) })
 	running.Go(func() { n.link.Run(control) })
 	peerServer := n.server(n.peers)
-	running.Go(func() { _ = peerServer.Serve(n.listeners.Peers) })
+	running.Go(func() { _ = n.servePeers(peerServer) })
 	administered := make(chan error, 1)
 	go func() { administered <- admin.Serve(control, n.listeners.Admin, n.admin()) }()
 	callers := n.server(n.front)
 	ended := make(chan error, 1)
-	go func() { ended <- callers.Serve(n.listeners.Callers) }()
+	go func() { ended <- n.serveCallers(callers) }()
 	n.log.Info().Str("Callers", n.listeners.Callers.Addr().String()).Msg("node started")
 	var failure error
 	select {
@@ -266,29 +279,26 @@
 
 func (n *Node) status() admin.Status {
 	state, now := n.loop.Snapshot(), n.clock.Now()
-	var members []admin.Member
-	for _, known := range state.Peers().Members(now) {
+	members := []admin.Member{}
+	for _, v := range state.Peers().Others(now) {
 		members = append(members, admin.Member{
-			Name:      known.Member.Name,
-			Address:   known.Member.Address,
-			Zone:      known.Member.Zone,
-			Version:   known.Version,
-			Accounted: known.Accounted,
-			HeardAt:   known.HeardAt,
+			Name: v.Member.Name, Address: v.Member.Address, Zone: v.Member.Zone,
+			Version: v.Version, Stopped: v.Stopped, HeardAt: v.HeardAt,
 		})
 	}
 	return admin.Status{
-		Node:         n.settings.Node.Name,
-		Incarnation:  n.incarnation,
-		Region:       n.settings.Node.Region,
-		Zone:         n.settings.Node.Zone,
-		Version:      state.Conf().Version(),
-		Fresh:        state.Peers().Fresh(now),
-		Settled:      state.Limit().Settled(now),
-		Draining:     state.Flow().Draining(),
-		OpenRequests: state.Flow().Open(),
-		Faults:       state.Conf().Faults(),
-		Members:      members,
+		CertificateFault: n.certificateFault(),
+		Node:             n.settings.Node.Name,
+		Incarnation:      n.incarnation,
+		Region:           n.settings.Node.Region,
+		Zone:             n.settings.Node.Zone,
+		Version:          state.Conf().Version(),
+		Fresh:            state.Peers().Fresh(now),
+		Settled:          state.Limit().Settled(now),
+		Draining:         state.Flow().Draining(),
+		OpenRequests:     state.Flow().Open(),
+		Faults:           state.Conf().Faults(),
+		Members:          members,
 	}
 }
 
@@ -298,6 +308,7 @@
 		Version: state.Conf().Version(),
 		Fresh:   state.Peers().Fresh(n.clock.Now()),
 		Open:    state.Flow().Open(),
+		Queued:  n.loop.Queued(),
 		Faults:  len(state.Conf().Faults()),
 	}
 }
