--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -268,7 +268,7 @@
 
 // member returns the member of a name in the roster in force.
 func (n *Node) member(name model.NodeName) (model.Member, bool) {
-	for _, member := range n.loop.Snapshot().Conf().Roster().Members {
+	for _, member := range n.loop.Snapshot().Conf().Roster(n.settings.Node.Region).Members {
 		if member.Name == name {
 			return member, true
 		}
