Run the control lease, orders, usage and their executors in the daemon

Cause: core/lease and core/order were built and tested, but no process ran them: there was no lease holder, no usage report and no way to send an order.

A node departs only when its usage is in the store and its lease is released. An engine's answer with a status of 500 or more counts as a broken attempt and is retried within the budget, where it was passed on.

Nothing raises OrderAsked or ProvisionAsked yet: the decisions on roles and on the number of upstreams are not connected.

--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -352,6 +352,14 @@
 }
 
 func (s State) completed(e event.AttemptEnded, c call, out *Out) State {
+	if c.account != "" {
+		out.Raise(event.UsageCounted{Line: model.UsageLine{
+			Account:      c.account,
+			Requests:     1,
+			PromptTokens: int64(c.request.PromptTokens),
+			OutputTokens: int64(e.TokensPassed),
+		}})
+	}
 	if !c.mustClaim {
 		return s.finished(e.Ticket, out)
 	}
--- a/core/node/bench_test.go
+++ b/core/node/bench_test.go
@@ -10,8 +10,10 @@
 	"caroblane/core/claim"
 	"caroblane/core/effect"
 	"caroblane/core/event"
+	"caroblane/core/lease"
 	"caroblane/core/limit"
 	"caroblane/core/model"
+	"caroblane/core/order"
 	"caroblane/core/peers"
 	"caroblane/core/step"
 )
@@ -23,6 +25,17 @@
 	self  = model.Member{Name: "n", Address: "127.0.0.1:1", Incarnation: 1}
 )
 
+// started returns a node that has not heard of the store yet.
+func started(member model.Member) State {
+	return New(Parts{
+		Peers: peers.New(member, "r"),
+		Limit: limit.New(member.Name, limit.Mix(), limit.DefaultOptions()),
+		Claim: claim.New(claim.DefaultSettings(), member.Incarnation),
+		Lease: lease.New(lease.DefaultSettings("r"), member.Name, member.Incarnation, at.Add(time.Hour)),
+		Order: order.New(order.DefaultSettings(), member.Name, member.Incarnation),
+	})
+}
+
 func keyOf(account int) model.KeyHash {
 	return sha256.Sum256(fmt.Appendf(nil, "key-%d", account))
 }
@@ -49,7 +62,7 @@
 			Address: "127.0.0.1:1", Slots: 64, Models: []model.ModelName{model.ModelName(fmt.Sprintf("model-%d", i%6))},
 		})
 	}
-	s := New(peers.New(model.Member{Name: "n", Incarnation: 1}, "r"), limit.New("n", limit.Mix(), limit.DefaultOptions()), claim.New(claim.DefaultSettings(), 1))
+	s := started(self)
 	add(model.KindRoster, "r", model.Roster{Region: "r", Members: []model.Member{self}})
 	contact := event.ConfigChanged{
 		Changes: changes, Upto: model.Version(len(changes)), SentAt: at, FromStore: true,
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -10,7 +10,9 @@
 	"caroblane/core/effect"
 	"caroblane/core/event"
 	"caroblane/core/flow"
+	"caroblane/core/lease"
 	"caroblane/core/limit"
+	"caroblane/core/order"
 	"caroblane/core/peers"
 	"caroblane/core/step"
 )
@@ -24,12 +26,33 @@
 	peers peers.State
 	limit limit.State
 	claim claim.State
+	lease lease.State
+	order order.State
 	flow  flow.State
+	// departed tells that the roster no longer lists this process.
+	departed bool
+}
+
+// Parts are the states that a node starts with.
+type Parts struct {
+	Peers peers.State
+	Limit limit.State
+	Claim claim.State
+	Lease lease.State
+	Order order.State
 }
 
 // New returns the state of a started node.
-func New(members peers.State, limits limit.State, claims claim.State) State {
-	return State{conf: conf.New(), peers: members, limit: limits, claim: claims, flow: flow.New()}
+func New(parts Parts) State {
+	return State{
+		conf:  conf.New(),
+		peers: parts.Peers,
+		limit: parts.Limit,
+		claim: parts.Claim,
+		lease: parts.Lease,
+		order: parts.Order,
+		flow:  flow.New(),
+	}
 }
 
 // Apply returns the next state and the effects of one event.
@@ -47,10 +70,28 @@
 		effects = append(effects, out.Effects...)
 		pending = append(pending, out.Raised...)
 		if len(pending) == 0 && s.flow.Draining() && s.flow.Open() == 0 && !s.peers.Leaving() {
-			pending = append(pending, event.LeaveAsked{})
+			pending = append(pending, event.LeaveAsked{}, event.UsageCloseAsked{})
+		}
+	}
+	return s.withDeparture(effects)
+}
+
+// withDeparture holds effect.Departed back until the usage of this node is in
+// the store and its lease is released, or given up.
+func (s State) withDeparture(effects []effect.Effect) (State, []effect.Effect) {
+	kept := effects[:0]
+	for _, e := range effects {
+		if _, ok := e.(effect.Departed); ok {
+			s.departed = true
+			continue
 		}
+		kept = append(kept, e)
+	}
+	if s.departed && s.order.Unreported() == 0 && s.lease.Stopped() {
+		s.departed = false
+		kept = append(kept, effect.Departed{})
 	}
-	return s, effects
+	return s, kept
 }
 
 // Conf returns the configuration in force.
@@ -59,12 +100,16 @@
 // Flow returns the open requests.
 func (s State) Flow() flow.State { return s.flow }
 
+// Lease returns the control lease as this node knows it.
+func (s State) Lease() lease.State { return s.lease }
+
 // Limit returns the allowances of the node.
 func (s State) Limit() limit.State { return s.limit }
 
 // Next returns when the node needs a timer event.
 func (s State) Next() time.Time {
-	return step.Earliest(s.peers.Next(), s.limit.Next(), s.claim.Next(), s.flow.Next())
+	return step.Earliest(
+		s.peers.Next(), s.limit.Next(), s.claim.Next(), s.lease.Next(), s.order.Next(), s.flow.Next())
 }
 
 // Peers returns the members and the freshness of the node.
@@ -92,6 +137,10 @@
 	collect()
 	s.claim, out = s.claim.Apply(in)
 	collect()
+	s.lease, out = s.lease.Apply(in)
+	collect()
+	s.order, out = s.order.Apply(in)
+	collect()
 	s.flow, out = s.flow.Apply(in, flow.Facts{Conf: s.conf, Fresh: s.peers.Fresh(in.At), Draw: in.Draw, At: in.At})
 	collect()
 	return s, all
--- a/core/node/node_test.go
+++ b/core/node/node_test.go
@@ -4,12 +4,9 @@
 	"testing"
 	"time"
 
-	"caroblane/core/claim"
 	"caroblane/core/effect"
 	"caroblane/core/event"
-	"caroblane/core/limit"
 	"caroblane/core/model"
-	"caroblane/core/peers"
 )
 
 // TestOtherRegion guards against members of another region that a node takes
@@ -17,7 +14,7 @@
 func TestOtherRegion(t *testing.T) {
 	self := model.Member{Name: "n", Address: "127.0.0.1:1", Incarnation: 1}
 	other := model.Member{Name: "o", Address: "127.0.0.1:2", Incarnation: 2}
-	s := New(peers.New(self, "r"), limit.New("n", limit.Mix(), limit.DefaultOptions()), claim.New(claim.DefaultSettings(), 1))
+	s := started(self)
 	at := time.Unix(1000, 0)
 	s, _ = s.Apply(Input{At: at, Event: event.ConfigChanged{
 		Changes: []model.Change{
@@ -38,7 +35,7 @@
 // roster.
 func TestLeaveAfterLastRequest(t *testing.T) {
 	self := model.Member{Name: "n", Address: "127.0.0.1:1", Incarnation: 1}
-	s := New(peers.New(self, "r"), limit.New("n", limit.Mix(), limit.DefaultOptions()), claim.New(claim.DefaultSettings(), 1))
+	s := started(self)
 	at := time.Unix(1000, 0)
 	s, _ = s.Apply(Input{At: at, Event: event.ConfigChanged{
 		Changes: []model.Change{
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -21,9 +21,11 @@
 	"caroblane/core/conf"
 	"caroblane/core/effect"
 	"caroblane/core/event"
+	"caroblane/core/lease"
 	"caroblane/core/limit"
 	"caroblane/core/model"
 	"caroblane/core/node"
+	"caroblane/core/order"
 	"caroblane/core/peers"
 	"caroblane/io/admin"
 	"caroblane/io/certs"
@@ -32,6 +34,7 @@
 	"caroblane/io/link"
 	"caroblane/io/loop"
 	"caroblane/io/meter"
+	"caroblane/io/orders"
 	"caroblane/io/plat"
 	"caroblane/io/relay"
 	"caroblane/io/setup"
@@ -69,6 +72,7 @@
 	loop        *loop.Loop[node.State, event.Event, effect.Effect]
 	meter       *meter.Meter
 	platform    *plat.Client
+	orders      *orders.Sender
 	relay       *relay.Client
 	front       *front.Server
 	// certificate is nil where callers use plain text, and authority where
@@ -146,14 +150,22 @@
 		Zone:        settings.Node.Zone,
 		Incarnation: incarnation,
 	}
-	initial := node.New(peers.New(self, settings.Node.Region), limit.New(self.Name, limit.Mix(), limit.DefaultOptions()), claim.New(claim.DefaultSettings(), incarnation))
+	leased := lease.DefaultSettings(settings.Node.Region)
+	initial := node.New(node.Parts{
+		Peers: peers.New(self, settings.Node.Region),
+		Limit: limit.New(self.Name, limit.Mix(), limit.DefaultOptions()),
+		Claim: claim.New(claim.DefaultSettings(), incarnation),
+		Lease: lease.New(leased, self.Name, incarnation, clock.Now()),
+		Order: order.New(order.DefaultSettings(), self.Name, incarnation),
+	})
 	n.loop = loop.New[node.State, event.Event, effect.Effect](
 		initial, all, event.Tick{}, settings.Limits.QueueCapacity, random(), clock.Now)
 	n.meter = meter.New(n.reading)
 	posts := counted{control{n.loop}, n.meter}
-	n.platform = plat.New(
-		plat.DefaultSettings("http://"+settings.Platform.Address.String(), string(settings.Node.Name)),
-		posts, random(), clock)
+	platform := plat.DefaultSettings("http://"+settings.Platform.Address.String(), string(settings.Node.Name))
+	platform.Lease = leased.Name
+	n.platform = plat.New(platform, posts, random(), clock)
+	n.orders = orders.New(n.upstream, posts, clock.Now)
 	var err error
 	if n.authority, err = peerAuthority(settings.TLS, clock.Now); err != nil {
 		return nil, err
@@ -167,7 +179,7 @@
 		Now:    clock.Now,
 	}, posts)
 	n.peers = link.NewHandler(self, posts, replyDesk)
-	*all = executors{replies{replyDesk}, n.meter, counter{n.meter}, n.platform, n.link, n.departed}
+	*all = executors{replies{replyDesk}, n.meter, counter{n.meter}, n.platform, n.orders, n.link, n.departed}
 	n.relay = relay.New(relay.Dialer())
 	if n.certificate, err = callerCertificate(settings.TLS, clock.Now); err != nil {
 		return nil, err
@@ -196,6 +208,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { n.loop.Run(control) })
 	running.Go(func() { n.platform.Run(control) })
+	running.Go(func() { n.orders.Run(control) })
 	running.Go(func() { n.link.Run(control) })
 	peerServer := n.server(n.peers)
 	running.Go(func() { _ = n.servePeers(peerServer) })
@@ -276,6 +289,11 @@
 	return model.Member{}, false
 }
 
+// upstream returns an upstream of the configuration in force.
+func (n *Node) upstream(name model.UpstreamName) (model.Upstream, bool) {
+	return n.loop.Snapshot().Conf().Upstream(name)
+}
+
 // admin returns the handler of the admin listener.
 func (n *Node) admin() http.Handler {
 	commands := admin.Commands{
@@ -322,11 +340,12 @@
 func (n *Node) reading() meter.Reading {
 	state := n.loop.Snapshot()
 	return meter.Reading{
-		Version: state.Conf().Version(),
-		Fresh:   state.Peers().Fresh(n.clock.Now()),
-		Open:    state.Flow().Open(),
-		Queued:  n.loop.Queued(),
-		Faults:  len(state.Conf().Faults()),
+		Version:   state.Conf().Version(),
+		Fresh:     state.Peers().Fresh(n.clock.Now()),
+		LeaseHeld: state.Lease().Held(n.clock.Now()),
+		Open:      state.Flow().Open(),
+		Queued:    n.loop.Queued(),
+		Faults:    len(state.Conf().Faults()),
 	}
 }
 
--- a/io/plat/client.go
+++ b/io/plat/client.go
@@ -46,6 +46,9 @@
 	Base string
 	// Name is sent as X-Client.
 	Name string
+	// Lease is the name of the lease under which provisions and usage reports
+	// are sent.
+	Lease string
 	// Workers is the number of object calls that run at once.
 	Workers int
 	// CallTerm bounds a call, from when its effect was emitted.
@@ -115,16 +118,21 @@
 // Done is closed when Run has returned.
 func (c *Client) Done() <-chan struct{} { return c.done }
 
-// Execute queues ReadObject and WriteObject and ignores other effects. When
-// the queue is full, the answer is ObjectReadFailed or ObjectUnsent.
+// Execute queues the calls to the platform and ignores other effects. When the
+// queue is full, the answer is that of a call that was not sent.
 func (c *Client) Execute(_ context.Context, e effect.Effect) {
-	switch e.(type) {
-	case effect.ReadObject, effect.WriteObject:
+	by := c.clock.Now().Add(c.settings.CallTerm)
+	switch e := e.(type) {
+	case effect.ListObjects, effect.ReadObject, effect.WriteObject:
+	case effect.ReportUsage:
+		by = e.NotAfter
+	case effect.SendProvision:
+		by = e.NotAfter
 	default:
 		return
 	}
 	select {
-	case c.queue <- job{effect: e, by: c.clock.Now().Add(c.settings.CallTerm)}:
+	case c.queue <- job{effect: e, by: by}:
 	default:
 		c.refused.add(unsent(e))
 	}
@@ -166,6 +174,12 @@
 			return
 		case j := <-c.queue:
 			switch e := j.effect.(type) {
+			case effect.ListObjects:
+				c.post(ctx, c.list(ctx, e, j.by))
+			case effect.ReportUsage:
+				c.post(ctx, c.report(ctx, e))
+			case effect.SendProvision:
+				c.post(ctx, c.provision(ctx, e))
 			case effect.ReadObject:
 				c.post(ctx, c.read(ctx, e, j.by))
 			case effect.WriteObject:
@@ -225,9 +239,17 @@
 
 // unsent returns the answer to a call that was not made.
 func unsent(e effect.Effect) event.Event {
-	if read, ok := e.(effect.ReadObject); ok {
-		return event.ObjectReadFailed{Op: read.Op}
+	switch e := e.(type) {
+	case effect.ListObjects:
+		return event.ObjectReadFailed{Op: e.Op}
+	case effect.ReadObject:
+		return event.ObjectReadFailed{Op: e.Op}
+	case effect.ReportUsage:
+		return event.SendFailed{Op: e.Op}
+	case effect.SendProvision:
+		return event.SendFailed{Op: e.Op}
+	default:
+		write, _ := e.(effect.WriteObject)
+		return event.ObjectUnsent{Op: write.Op}
 	}
-	write, _ := e.(effect.WriteObject)
-	return event.ObjectUnsent{Op: write.Op}
 }
--- a/io/plat/order.go
+++ b/io/plat/order.go
@@ -7,6 +7,10 @@
 	"net/url"
 	"time"
 
+	"github.com/joomcode/errorx"
+
+	"caroblane/core/effect"
+	"caroblane/core/event"
 	"caroblane/core/model"
 )
 
@@ -114,3 +118,28 @@
 	}
 	return Weights(wire), nil
 }
+
+// report carries out effect.ReportUsage. The platform gets the epoch of the
+// sender, which may be later than that of the record.
+func (c *Client) report(ctx context.Context, e effect.ReportUsage) event.Event {
+	usage := e.Usage
+	usage.Epoch = e.Epoch
+	return answered(e.Op, c.ReportUsage(ctx, c.settings.Lease, usage, e.NotAfter))
+}
+
+// provision carries out effect.SendProvision.
+func (c *Client) provision(ctx context.Context, e effect.SendProvision) event.Event {
+	return answered(e.Op, c.Provision(ctx, e.ID, c.settings.Lease, e.Epoch, e.Intent, e.NotAfter))
+}
+
+// answered converts the result of a call under a lease.
+func answered(op model.Op, err error) event.Event {
+	switch {
+	case err == nil:
+		return event.SendAnswered{Op: op, Result: model.SendAccepted}
+	case errorx.IsOfType(err, Conflict):
+		return event.SendAnswered{Op: op, Result: model.SendStale}
+	default:
+		return event.SendFailed{Op: op}
+	}
+}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -45,6 +45,8 @@
 // The types of errors that a Sink sees.
 var (
 	crossed   = Errors.NewType("crossed_answer")
+	failed    = Errors.NewType("failed")
+	rejected  = Errors.NewType("rejected")
 	truncated = Errors.NewType("truncated_answer")
 )
 
@@ -161,9 +163,12 @@
 			return Result{
 				Outcome:      model.Rejected,
 				TokensPassed: a.Resume,
-				Err:          Errors.NewType("rejected").New("upstream answered %s", response.Status),
+				Err:          rejected.New("upstream answered %s", response.Status),
 			}
 		}
+		if response.StatusCode >= http.StatusInternalServerError {
+			return a.broken(ctx, a.Resume, failed.New("upstream answered %s", response.Status))
+		}
 		if a.Stream && response.StatusCode == http.StatusOK {
 			return a.stream(ctx, response, sink)
 		}
@@ -246,6 +251,10 @@
 	} else {
 		answer.Truncated = true
 	}
+	tokens := 0
+	if a.isChat() && whole {
+		tokens, _ = totalTokens(held)
+	}
 	_, writeErr := sink.Write(held)
 	if !whole {
 		if _, err := io.CopyBuffer(writerOnly{sink}, response.Body, make([]byte, copyBuffer)); err != nil {
@@ -254,9 +263,9 @@
 	}
 	if writeErr != nil {
 		// The upstream answered whole; only the caller did not get it.
-		return Result{Outcome: model.Completed, Answer: answer, Err: writeErr}
+		return Result{Outcome: model.Completed, TokensPassed: tokens, Answer: answer, Err: writeErr}
 	}
-	return Result{Outcome: model.Completed, Answer: answer}
+	return Result{Outcome: model.Completed, TokensPassed: tokens, Answer: answer}
 }
 
 // readUpTo reads until the end, an error, or limit bytes.
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -115,6 +115,10 @@
 			name: "answer to another request", body: chunk(1, "a") + end(1), answerTo: "r2",
 			want: Result{Outcome: model.Broken},
 		},
+		{
+			name: "failing upstream", status: http.StatusInternalServerError,
+			want: Result{Outcome: model.Broken},
+		},
 		{
 			name: "full upstream", status: http.StatusServiceUnavailable,
 			want: Result{Outcome: model.Rejected},
