Hear of an outage in time in large regions

With more than 30 members the period of exchanges is above 3 s, so that some members answered only after the freshness by the store had ended. The loss of contact now brings the next exchange forward to outagePeriod after the last one.

The committed test runs with 4 nodes for 20 s.

--- a/core/peers/exchange.go
+++ b/core/peers/exchange.go
@@ -46,11 +46,22 @@
 	return s.period(now)
 }
 
+// dueAt returns when the next exchange with a peer is due. The loss of contact
+// with the store brings it forward: a region with a long period would otherwise
+// hear of the outage too late for outage mode.
+func (s State) dueAt(p peer, now time.Time) time.Time {
+	soon := p.sentAt.Add(outagePeriod)
+	if !s.inContact(now) && !p.sentAt.IsZero() && !now.Before(p.pendingUntil) && soon.Before(p.nextAt) {
+		return soon
+	}
+	return p.nextAt
+}
+
 // exchangeDue sends the exchanges that are due, one at a time to each peer.
 func (s State) exchangeDue(now time.Time, out *Out) State {
 	for itr := s.peers.Iterator(); !itr.Done(); {
 		_, p, _ := itr.Next()
-		if now.Before(p.nextAt) {
+		if now.Before(s.dueAt(p, now)) {
 			continue
 		}
 		if now.Before(p.pendingUntil) {
--- a/core/peers/pairs_test.go
+++ b/core/peers/pairs_test.go
@@ -23,7 +23,11 @@
 }
 
 func platform(down bool) func(w *world, _ int) {
-	return func(w *world, _ int) { w.cutStore = [nodeCount]bool{down, down, down, down} }
+	return func(w *world, _ int) {
+		for i := range w.cutStore {
+			w.cutStore[i] = down
+		}
+	}
 }
 
 func act(action int) func(w *world, i int) {
@@ -109,3 +113,22 @@
 		})
 	}
 }
+
+// TestOutageStart guards against a gap between the end of freshness by the store
+// and the start of outage mode, in which requests would be refused.
+func TestOutageStart(t *testing.T) {
+	w := calmWorld()
+	w.run(15 * time.Second)
+	platform(true)(w, 0)
+	for range 400 {
+		w.run(50 * time.Millisecond)
+		if n := w.freshCount(); n != nodeCount {
+			t.Fatalf("%d of %d nodes are fresh at %v", n, nodeCount, w.now)
+		}
+	}
+	for _, p := range w.nodes {
+		if !p.peers.Outage(p.clock()) {
+			t.Errorf("%s is not in outage mode", p.self.Name)
+		}
+	}
+}
--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -178,12 +178,15 @@
 	if s.fresh {
 		due = step.Earliest(due, later(s.freshUntil, s.outageUntil))
 	}
+	if s.inContact(now) {
+		due = step.Earliest(due, s.contactUntil)
+	}
 	if renewal := s.outageUntil.Add(-FreshnessTerm / 2); renewal.After(now) {
 		due = step.Earliest(due, renewal)
 	}
 	for itr := s.peers.Iterator(); !itr.Done(); {
 		_, p, _ := itr.Next()
-		due = step.Earliest(due, p.nextAt)
+		due = step.Earliest(due, s.dueAt(p, now))
 	}
 	return due
 }
