Print a curl line with the content type in caroblane dev

Cause: the printed line sent a form, which the caller API refuses with MalformedRequest.

Change: the line has a Content-Type header.

--- a/io/cmds/dev.go
+++ b/io/cmds/dev.go
@@ -105,7 +105,7 @@
 export CAROBLANE_PLATFORM=%s CAROBLANE_ADMIN=%s
 caroblane config version
 
-curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' \
+curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' \
   -d '{"model":"%s","stream":true,"max_tokens":32,"messages":[{"role":"user","content":"Hello"}]}'
 
 Stop with Ctrl-C.
