Report a gap in the generations after an invalid write

A gap that arrived with an invalid write was forgotten: the next valid write was reported as contiguous, so the limit part did not treat the missed versions as unknown. A write is now contiguous only if the one before it does not hide a gap. TestContiguousAfterInvalid fails without the change.

--- a/core/conf/conf.go
+++ b/core/conf/conf.go
@@ -37,6 +37,10 @@
 	fault      string
 }
 
+// hidesGap tells that a write was missed before one that is not in force. The
+// other parts have not seen it, so the next valid write has to tell them.
+func (e entry) hidesGap() bool { return e.fault != "" && !e.contiguous }
+
 // Placeable is an upstream with the hash that placement needs.
 type Placeable struct {
 	model.Upstream
@@ -196,7 +200,7 @@
 	next := entry{
 		seen:       change.Version,
 		generation: change.Generation,
-		contiguous: change.Generation == held.generation+1,
+		contiguous: change.Generation == held.generation+1 && !held.hidesGap(),
 		deleted:    change.Deleted,
 		value:      change.Value,
 	}
