Write less state for each request in the flow part

Cause: the profile showed reducer time in copies of map nodes. Each request wrote its whole call (with the request) four times; the map of running attempts kept an entry for every upstream ever used; each of 8 placement candidates cost three lookups with a hasher that uses reflection, and a copy of the upstream.

Change: calls share the request; the end of an attempt writes the call only where it goes on; load, fullUntil and alone are one map, which drops entries that say nothing; candidates point into the configuration; names have their own hashers; an upstream counts as tried once its attempt has ended.

--- a/core/conf/conf.go
+++ b/core/conf/conf.go
@@ -77,8 +77,8 @@
 		order:   immutable.NewSortedMap[write, struct{}](writeComparer{}),
 		graves:  immutable.NewSortedMap[write, struct{}](writeComparer{}),
 		keys:    immutable.NewMap[model.KeyHash, model.Key](hashHasher{}),
-		byModel: immutable.NewMap[model.ModelName, []Placeable](nil),
-		models:  immutable.NewMap[model.ModelName, model.Model](nil),
+		byModel: immutable.NewMap[model.ModelName, []Placeable](modelHasher{}),
+		models:  immutable.NewMap[model.ModelName, model.Model](modelHasher{}),
 	}
 }
 
--- a/core/conf/hash.go
+++ b/core/conf/hash.go
@@ -22,3 +22,11 @@
 func (idHasher) Hash(id objectID) uint32 {
 	return uint32(xxhash.Sum64String(id.name)) ^ uint32(id.kind)<<24
 }
+
+// modelHasher hashes model names. The hasher that the library picks by default
+// uses reflection for named types.
+type modelHasher struct{}
+
+func (modelHasher) Equal(a, b model.ModelName) bool { return a == b }
+
+func (modelHasher) Hash(name model.ModelName) uint32 { return uint32(xxhash.Sum64String(string(name))) }
--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/benbjohnson/immutable"
+	"github.com/cespare/xxhash/v2"
 
 	"caroblane/core/conf"
 	"caroblane/core/crash"
@@ -50,7 +51,8 @@
 
 // call is an open request.
 type call struct {
-	request  model.Request
+	// request is shared by all copies of the call and never changed.
+	request  *model.Request
 	account  model.AccountName
 	priority int
 	phase    phase
@@ -60,7 +62,8 @@
 	services []model.UpstreamName
 	attempt  int
 	upstream model.UpstreamName
-	tried    []model.UpstreamName
+	// tried are the upstreams of earlier attempts.
+	tried []model.UpstreamName
 	// mayHaveRun tells that an earlier attempt ended without an answer.
 	mayHaveRun bool
 	// resumed is the number of tokens that the caller had at the last resume.
@@ -74,10 +77,9 @@
 type State struct {
 	draining bool
 	open     *immutable.Map[model.Ticket, call]
-	// load counts this node's running attempts on each upstream.
-	load *immutable.Map[model.UpstreamName, int]
-	// fullUntil holds the upstreams that refused a request for lack of room.
-	fullUntil *immutable.Map[model.UpstreamName, time.Time]
+	// uses holds the upstreams that run a request of this node or were full a
+	// short time ago. It has no entry for others, which keeps it small.
+	uses *immutable.Map[model.UpstreamName, use]
 	// queue holds the requests in the phase waiting.
 	queue fair.Queue[model.AccountName, model.Ticket]
 	// deadlines orders the same requests by when they are refused.
@@ -85,22 +87,17 @@
 	// serveAt is when the queue is looked through again, zero if it is empty.
 	serveAt time.Time
 	crashes crash.State
-	// alone holds the upstreams that run one suspect request and get no other.
-	alone   *immutable.Map[model.UpstreamName, model.Ticket]
 	retries retry.Budget
 }
 
 // New returns a state without requests.
 func New() State {
 	return State{
-		open: immutable.NewMap[model.Ticket, call](ticketHasher{}),
-		load: immutable.NewMap[model.UpstreamName, int](nil),
-
-		fullUntil: immutable.NewMap[model.UpstreamName, time.Time](nil),
+		open:      immutable.NewMap[model.Ticket, call](ticketHasher{}),
+		uses:      immutable.NewMap[model.UpstreamName, use](nameHasher{}),
 		queue:     fair.New[model.AccountName, model.Ticket](ageTerm),
 		deadlines: immutable.NewSortedMap[deadline, struct{}](deadlineOrder{}),
 		crashes:   crash.New(),
-		alone:     immutable.NewMap[model.UpstreamName, model.Ticket](nil),
 	}
 }
 
@@ -115,7 +112,7 @@
 	case event.AdmissionRefused:
 		s = s.refused(e.Ticket, refusal(e.Reason, model.NotRun, e.RetryAfterSeconds), &out)
 	case event.ClaimWon:
-		s = s.dispatched(e.Ticket, facts, &out)
+		s = s.claimWon(e.Ticket, facts, &out)
 	case event.ClaimRefused:
 		s = s.claimRefused(e, &out)
 	case event.ClaimRecorded:
@@ -145,7 +142,7 @@
 func (s State) Open() int { return s.open.Len() }
 
 func (s State) arrived(e event.RequestArrived, facts Facts, out *Out) State {
-	c, reason, ok := s.check(e.Request, facts)
+	c, reason, ok := s.check(&e.Request, facts)
 	if !ok {
 		refuse(e.Ticket, refusal(reason, model.NotRun, retryAfter(reason)), out)
 		return s
@@ -165,7 +162,7 @@
 }
 
 // check decides whether a request may enter.
-func (s State) check(request model.Request, facts Facts) (call, model.Reason, bool) {
+func (s State) check(request *model.Request, facts Facts) (call, model.Reason, bool) {
 	c := call{request: request}
 	switch {
 	case s.draining:
@@ -206,7 +203,7 @@
 }
 
 // authorize sets the account that the request's key belongs to.
-func (c *call) authorize(request model.Request, config conf.State) (model.Reason, bool) {
+func (c *call) authorize(request *model.Request, config conf.State) (model.Reason, bool) {
 	if !request.HasKey {
 		return model.MissingKey, false
 	}
@@ -235,7 +232,7 @@
 		return s
 	}
 	if !c.mustClaim {
-		return s.dispatched(ticket, facts, out)
+		return s.dispatched(ticket, c, facts, out)
 	}
 	c.phase = claiming
 	s.open = s.open.Set(ticket, c)
@@ -249,20 +246,27 @@
 	return s
 }
 
-// dispatched sends the request to an upstream that was not tried yet.
-func (s State) dispatched(ticket model.Ticket, facts Facts, out *Out) State {
+func (s State) claimWon(ticket model.Ticket, facts Facts, out *Out) State {
 	c, ok := s.open.Get(ticket)
 	if !ok {
 		return s
 	}
+	return s.dispatched(ticket, c, facts, out)
+}
+
+// dispatched sends the request to an upstream that was not tried yet.
+func (s State) dispatched(ticket model.Ticket, c call, facts Facts, out *Out) State {
 	if s.crashes.Verdict(c.request.Fingerprint, facts.At) == crash.Refuse {
 		return s.failed(ticket, c, refusal(model.CrashSuspect, model.NotRun, retryAfter(model.CrashSuspect)), out)
 	}
+	if c.upstream != "" {
+		c.tried = append(c.tried[:len(c.tried):len(c.tried)], c.upstream)
+		c.upstream = ""
+	}
 	upstream, ok := s.place(c, facts)
 	if !ok {
 		return s.queued(ticket, c, facts, out)
 	}
-	c.tried = append(c.tried[:len(c.tried):len(c.tried)], upstream.Name)
 	return s.sent(ticket, c, upstream, facts, out)
 }
 
@@ -273,10 +277,12 @@
 	c.crashCounted = false
 	c.upstream = upstream.Name
 	s.open = s.open.Set(ticket, c)
-	s = s.withLoad(upstream.Name, 1)
+	u, _ := s.uses.Get(upstream.Name)
+	u.running++
 	if s.crashes.Verdict(c.request.Fingerprint, facts.At) == crash.Alone {
-		s.alone = s.alone.Set(upstream.Name, ticket)
+		u.alone, u.suspect = true, ticket
 	}
+	s.uses = s.uses.Set(upstream.Name, u)
 	out.Emit(effect.Dispatch{
 		Ticket:     ticket,
 		Attempt:    c.attempt,
@@ -295,13 +301,15 @@
 	if e.Crashed && !c.crashCounted {
 		s = s.crashed(c.upstream, facts, out)
 	}
-	s = s.withLoad(c.upstream, -1)
-	if holder, ok := s.alone.Get(c.upstream); ok && holder == e.Ticket {
-		s.alone = s.alone.Delete(c.upstream)
+	u, _ := s.uses.Get(c.upstream)
+	u.running--
+	if u.alone && u.suspect == e.Ticket {
+		u.alone = false
 	}
 	if e.Outcome == model.Rejected {
-		s.fullUntil = s.fullUntil.Set(c.upstream, facts.At.Add(fullTerm))
+		u.fullUntil = facts.At.Add(fullTerm)
 	}
+	s = s.withUse(c.upstream, u, facts.At)
 	s = s.ended(e, c, facts, out)
 	return s.served(facts, out)
 }
@@ -309,7 +317,6 @@
 // ended decides what follows the end of an attempt.
 func (s State) ended(e event.AttemptEnded, c call, facts Facts, out *Out) State {
 	c.mayHaveRun = c.mayHaveRun || e.Outcome == model.Broken || e.Outcome == model.CallerLeft
-	s.open = s.open.Set(e.Ticket, c)
 	if e.Outcome == model.Completed {
 		return s.completed(e, c, out)
 	}
@@ -327,7 +334,7 @@
 			return s.failed(e.Ticket, c, refusal(model.RetryBudgetSpent, model.NotRun, 1), out)
 		}
 		out.Emit(effect.CountRetry{Reason: retryReason(e.Outcome)})
-		return s.dispatched(e.Ticket, facts, out)
+		return s.dispatched(e.Ticket, c, facts, out)
 	}
 	if notRun {
 		return s.failed(e.Ticket, c, refusal(model.UpstreamLost, model.NotRun, 1), out)
@@ -390,10 +397,11 @@
 }
 
 func (s State) finished(ticket model.Ticket, out *Out) State {
-	if _, ok := s.open.Get(ticket); !ok {
+	open := s.open.Delete(ticket)
+	if open == s.open {
 		return s
 	}
-	s.open = s.open.Delete(ticket)
+	s.open = open
 	out.Emit(effect.Finish{Ticket: ticket})
 	return s
 }
@@ -455,12 +463,6 @@
 	return s
 }
 
-func (s State) withLoad(name model.UpstreamName, change int) State {
-	load, _ := s.load.Get(name)
-	s.load = s.load.Set(name, load+change)
-	return s
-}
-
 func refuse(ticket model.Ticket, r model.Refusal, out *Out) {
 	out.Emit(effect.CountRefusal{Reason: r.Reason}, effect.Refuse{Ticket: ticket, Refusal: r})
 }
@@ -496,6 +498,16 @@
 	}
 }
 
+// nameHasher hashes upstream names. The hasher that the library picks by default
+// uses reflection for named types.
+type nameHasher struct{}
+
+func (nameHasher) Equal(a, b model.UpstreamName) bool { return a == b }
+
+func (nameHasher) Hash(name model.UpstreamName) uint32 {
+	return uint32(xxhash.Sum64String(string(name)))
+}
+
 type ticketHasher struct{}
 
 func (ticketHasher) Equal(a, b model.Ticket) bool { return a == b }
--- a/core/flow/place.go
+++ b/core/flow/place.go
@@ -18,21 +18,30 @@
 	Otherwise: place.Sampled[candidate]{Choices: 8},
 }
 
-// candidate is an upstream as placement sees it.
+// use is what this node runs at an upstream.
+type use struct {
+	running int
+	// fullUntil is set when the upstream refused a request for lack of room.
+	fullUntil time.Time
+	// alone tells that the upstream runs the request suspect and gets no other.
+	alone   bool
+	suspect model.Ticket
+}
+
+// candidate is an upstream as placement sees it. It points into the
+// configuration, because placement reads many candidates for one request.
 type candidate struct {
-	conf.Placeable
+	*conf.Placeable
 	*facing
 }
 
 // facing is what decides whether a request may go to an upstream now.
 type facing struct {
-	load      *immutable.Map[model.UpstreamName, int]
-	fullUntil *immutable.Map[model.UpstreamName, time.Time]
-	tried     []model.UpstreamName
-	at        time.Time
+	uses  *immutable.Map[model.UpstreamName, use]
+	tried []model.UpstreamName
+	at    time.Time
 	// suspect requests go only where no other request runs.
 	suspect bool
-	alone   *immutable.Map[model.UpstreamName, model.Ticket]
 }
 
 // engines lists the upstreams of a model.
@@ -51,7 +60,7 @@
 // place picks the upstream for the next attempt of a request.
 func (s State) place(c call, facts Facts) (model.Upstream, bool) {
 	suspect := s.crashes.Verdict(c.request.Fingerprint, facts.At) == crash.Alone
-	now := &facing{s.load, s.fullUntil, c.tried, facts.At, suspect, s.alone}
+	now := &facing{s.uses, c.tried, facts.At, suspect}
 	var list place.List[candidate] = engines{facts.Conf.UpstreamsOf(c.request.Model), now}
 	if c.request.Kind == model.RequestPlain {
 		list = services{c.services, facts.Conf, now}
@@ -64,7 +73,7 @@
 }
 
 // At implements place.List.
-func (e engines) At(i int) candidate { return candidate{e.list[i], e.facing} }
+func (e engines) At(i int) candidate { return candidate{&e.list[i], e.facing} }
 
 // Len implements place.List.
 func (e engines) Len() int { return len(e.list) }
@@ -72,7 +81,7 @@
 // At implements place.List.
 func (s services) At(i int) candidate {
 	upstream, _ := s.config.Upstream(s.names[i])
-	return candidate{conf.Placeable{Upstream: upstream}, s.facing}
+	return candidate{&conf.Placeable{Upstream: upstream}, s.facing}
 }
 
 // Len implements place.List.
@@ -86,34 +95,39 @@
 	if c.Name == "" || c.State != model.UpstreamActive || slices.Contains(c.tried, c.Name) {
 		return 0, false
 	}
-	if until, ok := c.fullUntil.Get(c.Name); ok && c.at.Before(until) {
+	u, _ := c.uses.Get(c.Name)
+	if c.at.Before(u.fullUntil) {
 		return 0, false
 	}
-	running, _ := c.load.Get(c.Name)
-	if _, taken := c.alone.Get(c.Name); taken || running >= c.Slots || c.suspect && running > 0 {
+	if u.alone || u.running >= c.Slots || c.suspect && u.running > 0 {
 		return 1, false
 	}
-	return float64(running) / float64(c.Slots), true
+	return float64(u.running) / float64(c.Slots), true
 }
 
 // prefixKey is the hash of the first piece of the prompt, or zero.
-func prefixKey(request model.Request) uint64 {
+func prefixKey(request *model.Request) uint64 {
 	if len(request.PrefixHashes) == 0 {
 		return 0
 	}
 	return request.PrefixHashes[0]
 }
 
-// withoutPast returns the upstreams whose time is still to come.
-func withoutPast(
-	until *immutable.Map[model.UpstreamName, time.Time], at time.Time,
-) *immutable.Map[model.UpstreamName, time.Time] {
-	kept := until
-	for itr := until.Iterator(); !itr.Done(); {
-		name, end, _ := itr.Next()
-		if !end.After(at) {
-			kept = kept.Delete(name)
-		}
+// withUse replaces the use of an upstream, or drops it if nothing is left of it.
+func (s State) withUse(name model.UpstreamName, u use, at time.Time) State {
+	if u.running == 0 && !u.fullUntil.After(at) {
+		s.uses = s.uses.Delete(name)
+	} else {
+		s.uses = s.uses.Set(name, u)
+	}
+	return s
+}
+
+// withoutUnused drops the upstreams that run nothing and are no longer full.
+func (s State) withoutUnused(at time.Time) State {
+	for itr := s.uses.Iterator(); !itr.Done(); {
+		name, u, _ := itr.Next()
+		s = s.withUse(name, u, at)
 	}
-	return kept
+	return s
 }
--- a/core/flow/wait.go
+++ b/core/flow/wait.go
@@ -91,7 +91,7 @@
 		c, _ := s.open.Get(item.Value)
 		s.queue = s.queue.WithoutNext(owner)
 		s.deadlines = s.deadlines.Delete(deadline{c.request.AdmitBy, item.Value})
-		s = s.dispatched(item.Value, facts, out)
+		s = s.dispatched(item.Value, c, facts, out)
 	}
 	s.serveAt = time.Time{}
 	if s.queue.Len() > 0 {
@@ -114,8 +114,7 @@
 	if s.serveAt.IsZero() || facts.At.Before(s.serveAt) {
 		return s
 	}
-	s.fullUntil = withoutPast(s.fullUntil, facts.At)
-	return s.served(facts, out)
+	return s.withoutUnused(facts.At).served(facts, out)
 }
 
 // unqueued takes a request out of the queue, if it is there.
@@ -130,7 +129,7 @@
 
 // cost estimates the service that a request takes, in tokens. Reading a token
 // of the prompt takes about a tenth of the time of generating one.
-func cost(request model.Request) float64 {
+func cost(request *model.Request) float64 {
 	if request.Kind == model.RequestPlain {
 		return 1
 	}
