--- a/core/conf/conf.go
+++ b/core/conf/conf.go
@@ -37,6 +37,10 @@
 	fault      string
 }
 
+// hidesGap tells that a write was missed before one that is not in force. The
+// other parts have not seen it, so the next valid write has to tell them.
+func (e entry) hidesGap() bool { return e.fault != "" && !e.contiguous }
+
 // Placeable is an upstream with the hash that placement needs.
 type Placeable struct {
 	model.Upstream
@@ -73,8 +77,8 @@
 		order:   immutable.NewSortedMap[write, struct{}](writeComparer{}),
 		graves:  immutable.NewSortedMap[write, struct{}](writeComparer{}),
 		keys:    immutable.NewMap[model.KeyHash, model.Key](hashHasher{}),
-		byModel: immutable.NewMap[model.ModelName, []Placeable](nil),
-		models:  immutable.NewMap[model.ModelName, model.Model](nil),
+		byModel: immutable.NewMap[model.ModelName, []Placeable](modelHasher{}),
+		models:  immutable.NewMap[model.ModelName, model.Model](modelHasher{}),
 		rosters: immutable.NewMap[model.RegionName, model.Roster](nil),
 	}
 }
@@ -200,7 +204,7 @@
 	next := entry{
 		seen:       change.Version,
 		generation: change.Generation,
-		contiguous: change.Generation == held.generation+1,
+		contiguous: change.Generation == held.generation+1 && !held.hidesGap(),
 		deleted:    change.Deleted,
 		value:      change.Value,
 	}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -57,22 +57,7 @@
 
 // Apply returns the next state and the effects of one event.
 func (s State) Apply(in Input) (State, []effect.Effect) {
-	var effects []effect.Effect
-	pending := []event.Event{in.Event}
-	for len(pending) > 0 {
-		next := in.With(pending[0])
-		pending = pending[1:]
-		if s.foreign(next.Event) {
-			continue
-		}
-		var out step.Out[event.Event, effect.Effect]
-		s, out = s.fold(next)
-		effects = append(effects, out.Effects...)
-		pending = append(pending, out.Raised...)
-		if len(pending) == 0 && s.flow.Draining() && s.flow.Open() == 0 && !s.peers.Leaving() {
-			pending = append(pending, event.LeaveAsked{}, event.UsageCloseAsked{})
-		}
-	}
+	s, effects, _ := s.apply(in)
 	return s.withDeparture(effects)
 }
 
@@ -122,6 +107,30 @@
 	return ok && changed.Roster.Region != s.peers.Region()
 }
 
+// apply is Apply without the departure. Its third result is the number of
+// events folded: the one from outside and those that the parts raised.
+func (s State) apply(in Input) (State, []effect.Effect, int) {
+	var effects []effect.Effect
+	pending := []event.Event{in.Event}
+	folded := 0
+	for len(pending) > 0 {
+		next := in.With(pending[0])
+		pending = pending[1:]
+		if s.foreign(next.Event) {
+			continue
+		}
+		folded++
+		var out step.Out[event.Event, effect.Effect]
+		s, out = s.fold(next)
+		effects = append(effects, out.Effects...)
+		pending = append(pending, out.Raised...)
+		if len(pending) == 0 && s.flow.Draining() && s.flow.Open() == 0 && !s.peers.Leaving() {
+			pending = append(pending, event.LeaveAsked{}, event.UsageCloseAsked{})
+		}
+	}
+	return s, effects, folded
+}
+
 // fold passes one event through the parts in order.
 func (s State) fold(in Input) (State, step.Out[event.Event, effect.Effect]) {
 	var all, out step.Out[event.Event, effect.Effect]
