Place no work on upstreams whose VM is leaving, use MaxOpen and MaxWaiting

Cause: the platform's list of leaving VMs was read for members only, so a reclaimed upstream got new work until an operator drained it. The settings MaxOpen and MaxWaiting had no effect.

Change: the VM list carries the leaving ones; flow passes over upstreams on them. Both settings reach the parts that they bound.

--- a/core/event/peers.go
+++ b/core/event/peers.go
@@ -112,6 +112,8 @@
 	SentAt time.Time
 	// Addresses are the IP numbers of all listed VMs, leaving ones included.
 	Addresses []string
+	// Leaving are those of the VMs that will be stopped soon.
+	Leaving []string
 }
 
 func (AuthorityChanged) isEvent()   {}
--- a/core/flow/crash_test.go
+++ b/core/flow/crash_test.go
@@ -23,7 +23,7 @@
 }
 
 func newRig(t *testing.T, engines ...string) *rig {
-	r := &rig{t: t, state: New(), conf: conf.New(), at: begin}
+	r := &rig{t: t, state: New(1024), conf: conf.New(), at: begin}
 	changes := []model.Change{
 		{Kind: model.KindModel, Name: "m", Version: 1, Value: model.Model{MaxTokens: 10}},
 		{Kind: model.KindTemplate, Name: "a", Version: 1, Value: model.Template{Rate: 1, Burst: 1}},
@@ -162,7 +162,7 @@
 // TestCallerGoneWhileClaiming guards against a claim that stays open though its
 // request never ran.
 func TestCallerGoneWhileClaiming(t *testing.T) {
-	s := New()
+	s := New(1024)
 	s.open = s.open.Set(1, call{phase: claiming, mustClaim: true})
 	s, out := s.Apply(step.Input[event.Event]{At: begin, Event: event.CallerGone{Ticket: 1}}, Facts{Conf: conf.New()})
 	if diff := cmp.Diff([]event.Event{event.ClaimEnded{Ticket: 1, NotRun: true}}, out.Raised); diff != "" {
--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -21,7 +21,6 @@
 
 const (
 	maxAttempts = 3
-	maxOpen     = 65536
 )
 
 // Out is what this part produces in a step.
@@ -75,11 +74,15 @@
 
 // State holds the open requests of this node.
 type State struct {
+	// maxOpen bounds the open requests. Further ones are refused.
+	maxOpen  int
 	draining bool
 	open     *immutable.Map[model.Ticket, call]
 	// uses holds the upstreams that run a request of this node or were full a
 	// short time ago. It has no entry for others, which keeps it small.
 	uses *immutable.Map[model.UpstreamName, use]
+	// leaving holds the IP numbers of VMs that will be stopped soon.
+	leaving *immutable.Map[string, struct{}]
 	// queue holds the requests in the phase waiting.
 	queue fair.Queue[model.AccountName, model.Ticket]
 	// deadlines orders the same requests by when they are refused.
@@ -91,8 +94,10 @@
 }
 
 // New returns a state without requests.
-func New() State {
+func New(maxOpen int) State {
 	return State{
+		maxOpen:   maxOpen,
+		leaving:   immutable.NewMap[string, struct{}](nil),
 		open:      immutable.NewMap[model.Ticket, call](ticketHasher{}),
 		uses:      immutable.NewMap[model.UpstreamName, use](nameHasher{}),
 		queue:     fair.New[model.AccountName, model.Ticket](ageTerm),
@@ -129,6 +134,8 @@
 		s = s.keyChanged(e, &out)
 	case event.Tick:
 		s = s.expired(facts, &out).crashesExpired(in.At, &out)
+	case event.VMsListed:
+		s = s.withLeaving(e.Leaving)
 	case event.UpstreamChanged:
 		s = s.served(facts, &out)
 	}
@@ -169,7 +176,7 @@
 		return c, model.Draining, false
 	case !facts.Fresh:
 		return c, model.NotFresh, false
-	case s.open.Len() >= maxOpen:
+	case s.open.Len() >= s.maxOpen:
 		return c, model.Overloaded, false
 	}
 	open := false
--- a/core/flow/flow_test.go
+++ b/core/flow/flow_test.go
@@ -20,6 +20,11 @@
 
 var keyHash = model.KeyHash(sha256.Sum256([]byte("key")))
 
+// addresses are the IP numbers of the upstreams' VMs.
+var addresses = map[model.UpstreamName]string{
+	"p": "127.0.0.1", "e0": "127.0.0.2", "e1": "127.0.0.3", "e2": "127.0.0.4",
+}
+
 // record is what the world outside knows of one request.
 type record struct {
 	once    bool
@@ -47,13 +52,13 @@
 	records map[model.Ticket]*record
 	last    model.Ticket
 	active  map[model.UpstreamName]bool
-	withKey bool
+	leaving model.UpstreamName
 }
 
 func newHistory(t *rapid.T) *history {
 	h := &history{
-		state: New(), conf: conf.New(), at: begin, records: map[model.Ticket]*record{},
-		active: map[model.UpstreamName]bool{}, withKey: true,
+		state: New(1024), conf: conf.New(), at: begin, records: map[model.Ticket]*record{},
+		active: map[model.UpstreamName]bool{},
 	}
 	h.configure(t, model.KindModel, "m", model.Model{MaxTokens: 10})
 	h.configure(t, model.KindTemplate, "a", model.Template{Rate: 1, Burst: 1})
@@ -69,7 +74,7 @@
 
 func (h *history) upstream(name model.UpstreamName, state model.UpstreamState) model.Upstream {
 	h.active[name] = state == model.UpstreamActive
-	return model.Upstream{Address: "127.0.0.1:1", Slots: 2, Models: []model.ModelName{"m"}, State: state}
+	return model.Upstream{Address: addresses[name] + ":1", Slots: 2, Models: []model.ModelName{"m"}, State: state}
 }
 
 // configure changes an object and passes on what conf raises.
@@ -129,7 +134,7 @@
 	case effect.Dispatch:
 		r := h.records[e.Ticket]
 		switch {
-		case !h.active[e.Upstream.Name] && !r.resumes(e.Upstream.Name):
+		case (!h.active[e.Upstream.Name] || h.leaving == e.Upstream.Name) && !r.resumes(e.Upstream.Name):
 			t.Fatalf("ticket %d went to %s, which is not active", e.Ticket, e.Upstream.Name)
 		case r.running != 0:
 			t.Fatalf("ticket %d was sent twice at once", e.Ticket)
@@ -230,6 +235,14 @@
 				h.at = h.at.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond)
 				h.apply(t, event.Tick{})
 			},
+			"reclaim": func(t *rapid.T) {
+				h.leaving = rapid.SampledFrom([]model.UpstreamName{"", "e0", "e2", "p"}).Draw(t, "leaving")
+				var listed event.VMsListed
+				if h.leaving != "" {
+					listed.Leaving = []string{addresses[h.leaving]}
+				}
+				h.apply(t, listed)
+			},
 			"drain": func(t *rapid.T) {
 				name := rapid.SampledFrom([]model.UpstreamName{"e0", "e1", "p"}).Draw(t, "upstream")
 				state := rapid.SampledFrom([]model.UpstreamState{model.UpstreamActive, model.UpstreamDraining}).Draw(t, "state")
--- a/core/flow/place.go
+++ b/core/flow/place.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -37,9 +38,10 @@
 
 // facing is what decides whether a request may go to an upstream now.
 type facing struct {
-	uses  *immutable.Map[model.UpstreamName, use]
-	tried []model.UpstreamName
-	at    time.Time
+	uses    *immutable.Map[model.UpstreamName, use]
+	leaving *immutable.Map[string, struct{}]
+	tried   []model.UpstreamName
+	at      time.Time
 	// suspect requests go only where no other request runs.
 	suspect bool
 }
@@ -60,7 +62,7 @@
 // place picks the upstream for the next attempt of a request.
 func (s State) place(c call, facts Facts) (model.Upstream, bool) {
 	suspect := s.crashes.Verdict(c.request.Fingerprint, facts.At) == crash.Alone
-	now := &facing{s.uses, c.tried, facts.At, suspect}
+	now := &facing{s.uses, s.leaving, c.tried, facts.At, suspect}
 	var list place.List[candidate] = engines{facts.Conf.UpstreamsOf(c.request.Model), now}
 	if c.request.Kind == model.RequestPlain {
 		list = services{c.services, facts.Conf, now}
@@ -95,6 +97,9 @@
 	if c.Name == "" || c.State != model.UpstreamActive || slices.Contains(c.tried, c.Name) {
 		return 0, false
 	}
+	if c.leaves() {
+		return 0, false
+	}
 	u, _ := c.uses.Get(c.Name)
 	if c.at.Before(u.fullUntil) {
 		return 0, false
@@ -105,6 +110,28 @@
 	return float64(u.running) / float64(c.Slots), true
 }
 
+// leaves tells whether the VM of the upstream will be stopped soon.
+func (c candidate) leaves() bool {
+	if c.leaving.Len() == 0 {
+		return false
+	}
+	address, _ := netip.ParseAddrPort(c.Address)
+	_, leaving := c.leaving.Get(address.Addr().String())
+	return leaving
+}
+
+// withLeaving replaces the VMs that will be stopped soon.
+func (s State) withLeaving(addresses []string) State {
+	if len(addresses) == 0 && s.leaving.Len() == 0 {
+		return s
+	}
+	s.leaving = immutable.NewMap[string, struct{}](nil)
+	for _, address := range addresses {
+		s.leaving = s.leaving.Set(address, struct{}{})
+	}
+	return s
+}
+
 // prefixKey is the hash of the first piece of the prompt, or zero.
 func prefixKey(request *model.Request) uint64 {
 	if len(request.PrefixHashes) == 0 {
--- a/core/node/bench_test.go
+++ b/core/node/bench_test.go
@@ -10,6 +10,7 @@
 	"caroblane/core/claim"
 	"caroblane/core/effect"
 	"caroblane/core/event"
+	"caroblane/core/flow"
 	"caroblane/core/lease"
 	"caroblane/core/limit"
 	"caroblane/core/model"
@@ -33,6 +34,7 @@
 		Claim: claim.New(claim.DefaultSettings(), member.Incarnation),
 		Lease: lease.New(lease.DefaultSettings("r"), member.Name, member.Incarnation, at.Add(time.Hour)),
 		Order: order.New(order.DefaultSettings(), member.Name, member.Incarnation),
+		Flow:  flow.New(1024),
 	})
 }
 
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -40,6 +40,7 @@
 	Claim claim.State
 	Lease lease.State
 	Order order.State
+	Flow  flow.State
 }
 
 // New returns the state of a started node.
@@ -51,7 +52,7 @@
 		claim: parts.Claim,
 		lease: parts.Lease,
 		order: parts.Order,
-		flow:  flow.New(),
+		flow:  parts.Flow,
 	}
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -21,6 +21,7 @@
 	"caroblane/core/conf"
 	"caroblane/core/effect"
 	"caroblane/core/event"
+	"caroblane/core/flow"
 	"caroblane/core/lease"
 	"caroblane/core/limit"
 	"caroblane/core/model"
@@ -151,12 +152,15 @@
 		Incarnation: incarnation,
 	}
 	leased := lease.DefaultSettings(settings.Node.Region)
+	waiting := limit.DefaultOptions()
+	waiting.MaxWaitingTotal = settings.Limits.MaxWaiting
 	initial := node.New(node.Parts{
 		Peers: peers.New(self, settings.Node.Region),
-		Limit: limit.New(self.Name, limit.Mix(), limit.DefaultOptions()),
+		Limit: limit.New(self.Name, limit.Mix(), waiting),
 		Claim: claim.New(claim.DefaultSettings(), incarnation),
 		Lease: lease.New(leased, self.Name, incarnation, clock.Now()),
 		Order: order.New(order.DefaultSettings(), self.Name, incarnation),
+		Flow:  flow.New(settings.Limits.MaxOpen),
 	})
 	n.loop = loop.New[node.State, event.Event, effect.Effect](
 		initial, all, event.Tick{}, settings.Limits.QueueCapacity, random(), clock.Now)
--- a/io/plat/vms.go
+++ b/io/plat/vms.go
@@ -67,6 +67,9 @@
 			return event.VMsListed{}, Lost.Wrap(err, "VM %q", vm.Name)
 		}
 		e.Addresses = append(e.Addresses, address.String())
+		if vm.Leaving {
+			e.Leaving = append(e.Leaving, address.String())
+		}
 	}
 	return e, nil
 }
