Send the events of a request only to the parts that take them

Cause: fold passed each event through all five parts; every part copied its state and allocated its output and turn, and fold copied all outputs into new slices.

Change: takersOf names the parts for the events of a request; all other events still go to every part. Outputs are joined without a copy where only one part has any, and the list of pending events is no longer allocated in most steps. It was tried with AdmissionAsked routed to the claim part, and failed.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -18,6 +18,9 @@
 // Input is what the reducer takes.
 type Input = step.Input[event.Event]
 
+// Out is what the parts produce from one event.
+type Out = step.Out[event.Event, effect.Effect]
+
 // State is the whole control state of an entry node.
 type State struct {
 	conf  conf.State
@@ -59,39 +62,48 @@
 // from outside and those that the parts raised.
 func (s State) apply(in Input) (State, []effect.Effect, int) {
 	var effects []effect.Effect
-	pending := []event.Event{in.Event}
+	// Most steps fold at most three events, so that no slice is allocated.
+	pending := append(make([]event.Event, 0, 4), in.Event)
 	folded := 0
-	for len(pending) > 0 {
-		folded++
-		next := in.With(pending[0])
-		pending = pending[1:]
-		var out step.Out[event.Event, effect.Effect]
-		s, out = s.fold(next)
-		effects = append(effects, out.Effects...)
+	for ; folded < len(pending); folded++ {
+		var out Out
+		s, out = s.fold(in.With(pending[folded]))
+		if effects == nil {
+			effects = out.Effects
+		} else {
+			effects = append(effects, out.Effects...)
+		}
 		pending = append(pending, out.Raised...)
-		if len(pending) == 0 && s.flow.Draining() && s.flow.Open() == 0 && !s.peers.Leaving() {
+		last := folded+1 == len(pending)
+		if last && s.flow.Draining() && s.flow.Open() == 0 && !s.peers.Leaving() {
 			pending = append(pending, event.LeaveAsked{})
 		}
 	}
 	return s, effects, folded
 }
 
-// fold passes one event through the parts in order.
-func (s State) fold(in Input) (State, step.Out[event.Event, effect.Effect]) {
-	var all, out step.Out[event.Event, effect.Effect]
-	collect := func() {
-		all.Emit(out.Effects...)
-		all.Raise(out.Raised...)
+// fold passes one event through the parts that take it, in order.
+func (s State) fold(in Input) (State, Out) {
+	var all, out Out
+	to := takersOf(in.Event)
+	if to.has(toConf) {
+		s.conf, all = s.conf.Apply(in)
+	}
+	if to.has(toPeers) {
+		s.peers, out = s.peers.Apply(in)
+		all = all.With(out)
+	}
+	if to.has(toLimit) {
+		s.limit, out = s.limit.Apply(in, limit.Facts{Fresh: s.peers.Fresh(in.At)})
+		all = all.With(out)
+	}
+	if to.has(toClaim) {
+		s.claim, out = s.claim.Apply(in)
+		all = all.With(out)
+	}
+	if to.has(toFlow) {
+		s.flow, out = s.flow.Apply(in, flow.Facts{Conf: s.conf, Fresh: s.peers.Fresh(in.At), Draw: in.Draw, At: in.At})
+		all = all.With(out)
 	}
-	s.conf, out = s.conf.Apply(in)
-	collect()
-	s.peers, out = s.peers.Apply(in)
-	collect()
-	s.limit, out = s.limit.Apply(in, limit.Facts{Fresh: s.peers.Fresh(in.At)})
-	collect()
-	s.claim, out = s.claim.Apply(in)
-	collect()
-	s.flow, out = s.flow.Apply(in, flow.Facts{Conf: s.conf, Fresh: s.peers.Fresh(in.At), Draw: in.Draw, At: in.At})
-	collect()
 	return s, all
 }
--- a/core/step/step.go
+++ b/core/step/step.go
@@ -48,6 +48,22 @@
 	o.Raised = append(o.Raised, events...)
 }
 
+// With returns the output followed by another part's. It may share slices with
+// both, which must not be used any more.
+func (o Out[E, F]) With(next Out[E, F]) Out[E, F] {
+	if len(o.Effects) == 0 {
+		o.Effects = next.Effects
+	} else {
+		o.Effects = append(o.Effects, next.Effects...)
+	}
+	if len(o.Raised) == 0 {
+		o.Raised = next.Raised
+	} else {
+		o.Raised = append(o.Raised, next.Raised...)
+	}
+	return o
+}
+
 // Earliest returns the earliest of the times that are not zero.
 func Earliest(times ...time.Time) time.Time {
 	var first time.Time
