Keep a loop's tick when each event asks for another past time

Each event that changed the machine's past time set the timer to minWait from now again, so events closer than minWait put the tick off without end. A timer that fires within minWait is now left alone.

The errors for a full queue and a stopped loop no longer record a stack trace, which cost most under overload.

--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -19,10 +19,11 @@
 // Errors is the namespace of this layer's errors.
 var Errors = errorx.NewNamespace("loop")
 
-// The types of errors that Post and Offer return.
+// The types of errors that Post and Offer return. They carry no stack trace,
+// because a loaded node refuses many events.
 var (
-	Full    = Errors.NewType("full")
-	Stopped = Errors.NewType("stopped")
+	Full    = Errors.NewType("full").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+	Stopped = Errors.NewType("stopped").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
 )
 
 // Executor carries out effects. Execute must not block.
@@ -97,11 +98,13 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	state := *l.snapshot.Load()
-	var armed time.Time
+	// Asked is the time that the machine asked for last, due is when the timer
+	// fires; both are zero if it is not armed.
+	var asked, due time.Time
 	for {
-		if next := state.Next(); !next.Equal(armed) {
-			armed = next
-			l.arm(timer, next)
+		if next := state.Next(); !next.Equal(asked) {
+			asked = next
+			due = l.arm(timer, next, due)
 		}
 		var event E
 		select {
@@ -110,7 +113,7 @@
 		case event = <-l.queue:
 		case <-timer.C:
 			event = l.tick
-			armed = time.Time{}
+			asked, due = time.Time{}, time.Time{}
 		}
 		var effects []F
 		state, effects = state.Apply(step.Input[E]{At: l.now(), Draw: l.draw.Uint64(), Event: event})
@@ -125,10 +128,23 @@
 // Snapshot returns the state after the last applied event.
 func (l *Loop[S, E, F]) Snapshot() S { return *l.snapshot.Load() }
 
-func (l *Loop[S, E, F]) arm(timer *time.Timer, at time.Time) {
-	if at.IsZero() {
+// arm sets the timer to the time that the machine asks for, at least minWait
+// from now, and returns when it fires. A timer that fires within that wait is
+// left alone, or events that each ask for another time in the past would put
+// it off without end.
+func (l *Loop[S, E, F]) arm(timer *time.Timer, next, due time.Time) time.Time {
+	if next.IsZero() {
 		timer.Stop()
-		return
+		return time.Time{}
 	}
-	timer.Reset(max(minWait, at.Sub(l.now())))
+	now := l.now()
+	at := next
+	if earliest := now.Add(minWait); at.Before(earliest) {
+		at = earliest
+	}
+	if !due.Before(next) && !due.After(at) {
+		return due
+	}
+	timer.Reset(at.Sub(now))
+	return at
 }
