--- a/core/node/node.go
+++ b/core/node/node.go
@@ -20,14 +20,19 @@
 // Input is what the reducer takes.
 type Input = step.Input[event.Event]
 
-// State is the whole control state of an entry node.
+// Out is what the parts produce from one event.
+type Out = step.Out[event.Event, effect.Effect]
+
+// State is the whole control state of an entry node. The loop copies it for
+// each event, so it points to the parts that the events of most requests do not
+// change; what they point to is never changed.
 type State struct {
-	conf  conf.State
-	peers peers.State
+	conf  *conf.State
+	peers *peers.State
 	limit limit.State
-	claim claim.State
-	lease lease.State
-	order order.State
+	claim *claim.State
+	lease *lease.State
+	order *order.State
 	flow  flow.State
 	// departed tells that the roster no longer lists this process.
 	departed bool
@@ -45,13 +50,14 @@
 
 // New returns the state of a started node.
 func New(parts Parts) State {
+	config := conf.New()
 	return State{
-		conf:  conf.New(),
-		peers: parts.Peers,
+		conf:  &config,
+		peers: &parts.Peers,
 		limit: parts.Limit,
-		claim: parts.Claim,
-		lease: parts.Lease,
-		order: parts.Order,
+		claim: &parts.Claim,
+		lease: &parts.Lease,
+		order: &parts.Order,
 		flow:  parts.Flow,
 	}
 }
@@ -81,13 +87,13 @@
 }
 
 // Conf returns the configuration in force.
-func (s State) Conf() conf.State { return s.conf }
+func (s State) Conf() conf.State { return *s.conf }
 
 // Flow returns the open requests.
 func (s State) Flow() flow.State { return s.flow }
 
 // Lease returns the control lease as this node knows it.
-func (s State) Lease() lease.State { return s.lease }
+func (s State) Lease() lease.State { return *s.lease }
 
 // Limit returns the allowances of the node.
 func (s State) Limit() limit.State { return s.limit }
@@ -99,7 +105,7 @@
 }
 
 // Peers returns the members and the freshness of the node.
-func (s State) Peers() peers.State { return s.peers }
+func (s State) Peers() peers.State { return *s.peers }
 
 // foreign tells that an event is about another region's roster. The parts know
 // only their own.
@@ -112,46 +118,69 @@
 // events folded: the one from outside and those that the parts raised.
 func (s State) apply(in Input) (State, []effect.Effect, int) {
 	var effects []effect.Effect
-	pending := []event.Event{in.Event}
+	// Most steps fold at most three events, so that no slice is allocated.
+	pending := append(make([]event.Event, 0, 4), in.Event)
 	folded := 0
-	for len(pending) > 0 {
-		next := in.With(pending[0])
-		pending = pending[1:]
-		if s.foreign(next.Event) {
+	for ; folded < len(pending); folded++ {
+		if s.foreign(pending[folded]) {
 			continue
 		}
-		folded++
-		var out step.Out[event.Event, effect.Effect]
-		s, out = s.fold(next)
-		effects = append(effects, out.Effects...)
+		var out Out
+		s, out = s.fold(in.With(pending[folded]))
+		if effects == nil {
+			effects = out.Effects
+		} else {
+			effects = append(effects, out.Effects...)
+		}
 		pending = append(pending, out.Raised...)
-		if len(pending) == 0 && s.flow.Draining() && s.flow.Open() == 0 && !s.peers.Leaving() {
+		last := folded+1 == len(pending)
+		if last && s.flow.Draining() && s.flow.Open() == 0 && !s.peers.Leaving() {
 			pending = append(pending, event.LeaveAsked{}, event.UsageCloseAsked{})
 		}
 	}
 	return s, effects, folded
 }
 
-// fold passes one event through the parts in order.
-func (s State) fold(in Input) (State, step.Out[event.Event, effect.Effect]) {
-	var all, out step.Out[event.Event, effect.Effect]
-	collect := func() {
-		all.Emit(out.Effects...)
-		all.Raise(out.Raised...)
+// fold passes one event through the parts that take it, in order.
+func (s State) fold(in Input) (State, Out) {
+	var all, out Out
+	to := takersOf(in.Event)
+	if to.has(toConf) {
+		var next conf.State
+		next, all = s.conf.Apply(in)
+		s.conf = &next
+	}
+	if to.has(toPeers) {
+		var next peers.State
+		next, out = s.peers.Apply(in)
+		s.peers = &next
+		all = all.With(out)
+	}
+	if to.has(toLimit) {
+		s.limit, out = s.limit.Apply(in, limit.Facts{Fresh: s.peers.Fresh(in.At)})
+		all = all.With(out)
+	}
+	if to.has(toClaim) {
+		var next claim.State
+		next, out = s.claim.Apply(in)
+		s.claim = &next
+		all = all.With(out)
+	}
+	if to.has(toLease) {
+		var next lease.State
+		next, out = s.lease.Apply(in)
+		s.lease = &next
+		all = all.With(out)
+	}
+	if to.has(toOrder) {
+		var next order.State
+		next, out = s.order.Apply(in)
+		s.order = &next
+		all = all.With(out)
+	}
+	if to.has(toFlow) {
+		s.flow, out = s.flow.Apply(in, flow.Facts{Conf: *s.conf, Fresh: s.peers.Fresh(in.At), Draw: in.Draw, At: in.At})
+		all = all.With(out)
 	}
-	s.conf, out = s.conf.Apply(in)
-	collect()
-	s.peers, out = s.peers.Apply(in)
-	collect()
-	s.limit, out = s.limit.Apply(in, limit.Facts{Fresh: s.peers.Fresh(in.At)})
-	collect()
-	s.claim, out = s.claim.Apply(in)
-	collect()
-	s.lease, out = s.lease.Apply(in)
-	collect()
-	s.order, out = s.order.Apply(in)
-	collect()
-	s.flow, out = s.flow.Apply(in, flow.Facts{Conf: s.conf, Fresh: s.peers.Fresh(in.At), Draw: in.Draw, At: in.At})
-	collect()
 	return s, all
 }
