Send nothing from a node that is not fresh

Cause: freshness was checked when a request arrived. A request that waited for its claim or for an upstream could be sent up to a minute later, when the node might have missed the withdrawal of its key.

Change: flow checks freshness again at each dispatch. The history test lets the freshness lapse.

--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -261,8 +261,13 @@
 	return s.dispatched(ticket, c, facts, out)
 }
 
-// dispatched sends the request to an upstream that was not tried yet.
+// dispatched sends the request to an upstream that was not tried yet. A node
+// that is not fresh may have missed the withdrawal of the request's key since
+// its arrival.
 func (s State) dispatched(ticket model.Ticket, c call, facts Facts, out *Out) State {
+	if !facts.Fresh {
+		return s.failed(ticket, c, refusal(model.NotFresh, model.NotRun, retryAfter(model.NotFresh)), out)
+	}
 	if s.crashes.Verdict(c.request.Fingerprint, facts.At) == crash.Refuse {
 		return s.failed(ticket, c, refusal(model.CrashSuspect, model.NotRun, retryAfter(model.CrashSuspect)), out)
 	}
--- a/core/flow/flow_test.go
+++ b/core/flow/flow_test.go
@@ -53,6 +53,7 @@
 	last    model.Ticket
 	active  map[model.UpstreamName]bool
 	leaving model.UpstreamName
+	stale   bool
 }
 
 func newHistory(t *rapid.T) *history {
@@ -92,7 +93,7 @@
 }
 
 func (h *history) apply(t *rapid.T, e event.Event) {
-	facts := Facts{Conf: h.conf, Fresh: true, At: h.at, Draw: rapid.Uint64().Draw(t, "draw")}
+	facts := Facts{Conf: h.conf, Fresh: !h.stale, At: h.at, Draw: rapid.Uint64().Draw(t, "draw")}
 	var out Out
 	h.state, out = h.state.Apply(step.Input[event.Event]{At: h.at, Event: e}, facts)
 	for _, e := range out.Effects {
@@ -136,6 +137,8 @@
 		switch {
 		case (!h.active[e.Upstream.Name] || h.leaving == e.Upstream.Name) && !r.resumes(e.Upstream.Name):
 			t.Fatalf("ticket %d went to %s, which is not active", e.Ticket, e.Upstream.Name)
+		case h.stale && !r.resumes(e.Upstream.Name):
+			t.Fatalf("ticket %d was sent by a node that is not fresh", e.Ticket)
 		case r.running != 0:
 			t.Fatalf("ticket %d was sent twice at once", e.Ticket)
 		case r.once && !r.claimed:
@@ -235,6 +238,7 @@
 				h.at = h.at.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond)
 				h.apply(t, event.Tick{})
 			},
+			"lapse": func(t *rapid.T) { h.stale = rapid.Bool().Draw(t, "stale") },
 			"reclaim": func(t *rapid.T) {
 				h.leaving = rapid.SampledFrom([]model.UpstreamName{"", "e0", "e2", "p"}).Draw(t, "leaving")
 				var listed event.VMsListed
@@ -257,6 +261,7 @@
 // have had exactly one end.
 func (h *history) finish(t *rapid.T) {
 	h.at = h.at.Add(time.Minute)
+	h.stale = false
 	h.apply(t, event.Tick{})
 	for {
 		ticket, ok := h.pick(t, true)
