--- a/cmd/caroblaned/harness_test.go
+++ b/cmd/caroblaned/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -14,8 +15,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -38,7 +41,7 @@
 		return "", err
 	}
 	build := exec.Command("go", "build", "-o", dir+string(os.PathSeparator),
-		"caroblane/cmd/caroblaned", "caroblane/cmd/caroblane-fake")
+		"caroblane/cmd/caroblaned", "caroblane/cmd/caroblane", "caroblane/cmd/caroblane-fake")
 	if out, err := build.CombinedOutput(); err != nil {
 		return "", fmt.Errorf("%w\n%s", err, out)
 	}
@@ -189,14 +192,13 @@
 		}})
 	}
 	in.plain = in.standIn("plain")
-	hash := sha256.Sum256([]byte(callerKey))
 	objects = append(objects,
 		object{"Upstream", "plain", map[string]any{"Kind": "Plain", "Address": in.plain, "Zone": "a", "Slots": 64}},
 		object{"Route", "send", map[string]any{"Prefix": "/send/", "Upstreams": []string{"plain"}}},
 		object{"Route", "read", map[string]any{"Prefix": "/read/", "Upstreams": []string{"plain"}, "Repeatable": true}},
 		object{"Model", modelName, map[string]any{"MaxTokens": 4096}},
 		object{"Template", "account", map[string]any{"Rate": 1000, "Burst": 1000}},
-		object{"Key", "key", map[string]any{"Account": "account", "Hash": hex.EncodeToString(hash[:]), "State": "Active"}},
+		object{"Key", "key", map[string]any{"Account": "account", "Hash": keyHash(callerKey), "State": "Active"}},
 	)
 	in.store = in.standIn("store", "--seed", in.file("seed.json", objects))
 	for i := range nodes {
@@ -262,10 +264,16 @@
 
 // eventually waits until a condition holds.
 func (in *installation) eventually(what string, holds func() bool) {
+	in.t.Helper()
+	in.within(waitTerm, what, holds)
+}
+
+// within waits at most the given term until a condition holds.
+func (in *installation) within(term time.Duration, what string, holds func() bool) {
 	in.t.Helper()
 	ticker := time.NewTicker(waitPoll)
 	defer ticker.Stop()
-	limit := time.After(waitTerm)
+	limit := time.After(term)
 	for !holds() {
 		select {
 		case <-ticker.C:
@@ -273,7 +281,7 @@
 			for i, node := range in.nodes {
 				in.t.Logf("node %d:\n%s", i, node.log)
 			}
-			in.t.Fatalf("not within %s: %s", waitTerm, what)
+			in.t.Fatalf("not within %s: %s", term, what)
 		}
 	}
 }
@@ -284,6 +292,8 @@
 	header http.Header
 	body   string
 	err    error
+	// stream tells that an event stream was asked for.
+	stream bool
 }
 
 // refusal is the typed error body.
@@ -296,7 +306,11 @@
 }
 
 func (in *installation) call(node int, method, path, body string, header ...string) answer {
-	request, err := http.NewRequest(method, "http://"+in.nodes[node].callers+path, strings.NewReader(body))
+	return in.callIn(context.Background(), node, method, path, body, header...)
+}
+
+func (in *installation) callIn(ctx context.Context, node int, method, path, body string, header ...string) answer {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+in.nodes[node].callers+path, strings.NewReader(body))
 	if err != nil {
 		return answer{err: err}
 	}
@@ -400,15 +414,34 @@
 	}
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
+// lastPort is the port that freeAddress looked at last.
+var lastPort atomic.Int32
+
+// freeAddress returns an address on which nothing listens, also while an entry
+// node is down between two starts. A port that was free a moment ago can be
+// taken by another package's listener on port 0, or by an outgoing connection:
+// the IP number, one of 127.0.0.0/8 by the process id, keeps out the first, and
+// a port below the ephemeral range (32768 and above) the second.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	const firstPort, ports = 10_000, 20_000
+	id := os.Getpid()
+	ip := net.IPv4(127, byte(64|id>>16&63), byte(id>>8), byte(id)).String()
+	for {
+		port := lastPort.Add(1)
+		if port > ports {
+			t.Fatalf("no free port on %s", ip)
+		}
+		listener, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(firstPort+int(port))))
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = listener.Close()
+		return listener.Addr().String()
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
 }
 
 func httpText(t *testing.T, url string) string {
@@ -434,3 +467,20 @@
 	}
 	return status.OpenRequests
 }
+
+// engineStats are counters of an engine.
+type engineStats struct{ Submitted, Crashes int }
+
+func (in *installation) engineStats(address string) engineStats {
+	in.t.Helper()
+	var stats engineStats
+	if err := json.Unmarshal([]byte(httpText(in.t, "http://"+address+"/stats")), &stats); err != nil {
+		in.t.Fatal(err)
+	}
+	return stats
+}
+
+func keyHash(key string) string {
+	hash := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(hash[:])
+}
--- a/cmd/caroblaned/process_test.go
+++ b/cmd/caroblaned/process_test.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"net/http"
 	"strings"
@@ -12,6 +10,7 @@
 
 // Guards against a path that works only inside one process.
 func TestServe(t *testing.T) {
+	t.Parallel()
 	in := install(t, 3)
 	for node := range in.nodes {
 		if err := wholeStream(in.chat(node, 8), 8); err != nil {
@@ -40,6 +39,7 @@
 
 // Guards against bad input that reaches an upstream or gets no typed answer.
 func TestBadInput(t *testing.T) {
+	t.Parallel()
 	in := install(t, 1)
 	const path = "/v1/chat/completions"
 	good := chatBody(1, false, "hello")
@@ -82,6 +82,7 @@
 
 // Guards against a planned stop that cuts a stream or ends with an error.
 func TestDrainCutsNothing(t *testing.T) {
+	t.Parallel()
 	in := install(t, 2)
 	const tokens = 60
 	ended := make(chan answer, 1)
@@ -107,6 +108,7 @@
 // Guards against a second execution when the node that sent a request is
 // killed before it recorded the outcome, and the caller repeats the request.
 func TestKillDuringSend(t *testing.T) {
+	t.Parallel()
 	in := install(t, 2)
 	in.fault(in.plain, `{"SlowBy":"3s"}`)
 	ended := make(chan answer, 1)
@@ -128,6 +130,7 @@
 // Guards against a lost answer of the store that is taken for a failed write,
 // and against a send while the store is away.
 func TestSendDuringStoreFaults(t *testing.T) {
+	t.Parallel()
 	in := install(t, 2)
 	in.fault(in.store, `{"LoseAnswers":2}`)
 	if got := in.call(0, http.MethodPost, "/send/1", "{}", "Idempotency-Key", "k1"); got.status != http.StatusOK {
@@ -149,13 +152,13 @@
 
 // Guards against a withdrawn key that goes on working for a connected caller.
 func TestWithdrawKey(t *testing.T) {
+	t.Parallel()
 	in := install(t, 2)
 	ended := make(chan answer, 1)
 	go func() { ended <- in.chat(0, 4000) }()
 	in.eventually("the stream has begun", func() bool { return in.openRequests(0) == 1 })
-	hash := sha256.Sum256([]byte(callerKey))
 	in.write("Key", "key", map[string]any{
-		"Account": "account", "Hash": hex.EncodeToString(hash[:]), "State": "Withdrawn",
+		"Account": "account", "Hash": keyHash(callerKey), "State": "Withdrawn",
 	})
 	if cut := <-ended; !strings.Contains(cut.body, "KeyWasWithdrawn") {
 		t.Errorf("the open stream ended with %s %v", tail(cut.body), cut.err)
@@ -170,6 +173,7 @@
 // Guards against engines that are cut and streams that are resumed with a gap
 // or a doubled token.
 func TestResumeCutStream(t *testing.T) {
+	t.Parallel()
 	in := install(t, 1)
 	whole := in.chat(0, 12)
 	for _, engine := range in.engines {
