Name the objects with faults as in the platform

Cause: State.Faults wrote the Go name of the kind, so that the status and config wait showed KindTemplate/account. The status documents Kind/Name, and the platform and the command line use Template/account. Change: use Kind.Name.

--- a/core/conf/conf.go
+++ b/core/conf/conf.go
@@ -107,7 +107,7 @@
 	for itr := s.objects.Iterator(); !itr.Done(); {
 		id, held, _ := itr.Next()
 		if held.fault != "" {
-			faults[id.kind.String()+"/"+id.name] = held.fault
+			faults[id.kind.Name()+"/"+id.name] = held.fault
 		}
 	}
 	return faults
