Tell peers of crashes at once

Cause: crash counts went to the peers with the next exchange, up to a second later. A caller that sent a crashing request again through another node within that time crashed engines there too. Change: counts that rose are sent to all peers at once, or as soon as the exchange in progress ends. One exchange per peer is still outstanding. Repeats that run at the same time on several nodes can still crash more engines.

--- a/core/event/peers.go
+++ b/core/event/peers.go
@@ -24,7 +24,12 @@
 
 // CrashCountsChanged is raised with this node's crash counts for its peers. At
 // most model.MaxCrashCounts are sent.
-type CrashCountsChanged struct{ Counts []model.CrashCount }
+type CrashCountsChanged struct {
+	Counts []model.CrashCount
+	// Rose tells that a count rose: the peers must learn of it before the
+	// request is sent again through one of them.
+	Rose bool
+}
 
 // ExchangeAnswered reports a peer's answer to effect.Exchange.
 type ExchangeAnswered struct {
--- a/core/flow/crash.go
+++ b/core/flow/crash.go
@@ -20,7 +20,7 @@
 		fingerprints = append(fingerprints, c.request.Fingerprint)
 	}
 	s.crashes = s.crashes.WithCrash(fingerprints, facts.At)
-	out.Raise(event.CrashCountsChanged{Counts: s.crashes.Own()})
+	out.Raise(event.CrashCountsChanged{Counts: s.crashes.Own(), Rose: true})
 	return s
 }
 
--- a/core/peers/exchange.go
+++ b/core/peers/exchange.go
@@ -59,6 +59,7 @@
 			continue
 		}
 		p.sentAt, p.pendingUntil, p.nextAt = now, now.Add(pendingTerm), now.Add(s.interval(p, now))
+		p.news = false
 		s = s.withPeer(p)
 		out.Emit(effect.Exchange{Peer: p.member, Status: s.status(now), Counts: s.counts})
 	}
@@ -79,6 +80,22 @@
 	}
 }
 
+// countsChanged takes this node's crash counts. Counts that rose go to all
+// peers at once: within a period, a request that is sent again through them
+// could crash more upstreams than it may.
+func (s State) countsChanged(e event.CrashCountsChanged, now time.Time) State {
+	s.counts = capCounts(e.Counts)
+	if !e.Rose {
+		return s
+	}
+	for itr := s.peers.Iterator(); !itr.Done(); {
+		_, p, _ := itr.Next()
+		p.news, p.nextAt = true, now
+		s = s.withPeer(p)
+	}
+	return s
+}
+
 // exchangeAsked takes a peer's exchange. It may have been under way for any
 // time, so that only facts which stay true are taken from it.
 func (s State) exchangeAsked(e event.ExchangeAsked, now time.Time, out *Out) State {
@@ -151,6 +168,9 @@
 	if !p.pendingUntil.IsZero() {
 		p.pendingUntil = time.Time{}
 		p.nextAt = later(now, p.sentAt.Add(interval))
+		if p.news {
+			p.nextAt = now
+		}
 	}
 	return p
 }
--- a/core/peers/member.go
+++ b/core/peers/member.go
@@ -59,6 +59,8 @@
 	nextAt       time.Time
 	sentAt       time.Time
 	pendingUntil time.Time
+	// news tells that crash counts rose after the last exchange was sent.
+	news bool
 	// silent tells that the last exchange got no answer.
 	silent bool
 	// fetchedAt is when this node last wanted to fetch from the peer.
--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -112,7 +112,7 @@
 	case event.PushArrived:
 		s = s.pushArrived(e, &out)
 	case event.CrashCountsChanged:
-		s.counts = capCounts(e.Counts)
+		s = s.countsChanged(e, now)
 	case event.VMsListed:
 		s = s.vmsListed(e)
 	case event.ForgetAsked:
