Keep the key out of every forwarded header

Cause: ForwardHeader removed Authorization, Cookie and X-Api-Key by name. A copy of the key in another header, such as X-Forwarded-Authorization of a proxy in front of the node, reached the upstream. Change: headers whose value contains the key of Authorization are dropped. Keys shorter than 8 bytes are looked for in no other header, because they would match ordinary values. A key that the caller writes into a path, query or body is passed on.

--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -244,8 +244,9 @@
 // Guards against a caller's key that reaches an upstream.
 func TestForwardHeaderDropsKey(t *testing.T) {
 	header := http.Header{
-		"Authorization": {"Bearer secret"}, "X-Api-Key": {"secret"}, "Cookie": {"secret"},
-		"Connection": {"X-Private"}, "X-Private": {"1"}, "X-Attempt": {"7"}, "Accept": {"text/plain"},
+		"Authorization": {"Bearer secret-1"}, "X-Api-Key": {"secret-1"}, "Cookie": {"secret-1"},
+		"X-Forwarded-Authorization": {"other", "Bearer secret-1"},
+		"Connection":                {"X-Private"}, "X-Private": {"1"}, "X-Attempt": {"7"}, "Accept": {"text/plain"},
 	}
 	want := http.Header{"Accept": {"text/plain"}}
 	if diff := cmp.Diff(want, ForwardHeader(header)); diff != "" {
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -7,14 +7,21 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
 	"caroblane/core/model"
 )
 
-const maxEventLine = 1 << 20
+const (
+	maxEventLine = 1 << 20
+	// minKey is the length in bytes from which a key is looked for in all
+	// headers. Shorter text occurs in ordinary values.
+	minKey = 8
+)
 
 var (
 	dataField = []byte("data:")
@@ -190,7 +197,8 @@
 }
 
 // ForwardHeader returns the headers of a caller that an upstream may see. The
-// caller's key is not among them.
+// caller's key is not among them, also where a proxy in front of the node has
+// copied it to another header.
 func ForwardHeader(header http.Header) http.Header {
 	forwarded := header.Clone()
 	for _, listed := range header.Values("Connection") {
@@ -204,5 +212,11 @@
 	for _, name := range []string{"Authorization", "Cookie", "X-Api-Key", headerRequestID, headerAttempt, headerPriority, headerLastEvent} {
 		forwarded.Del(name)
 	}
+	_, key, _ := strings.Cut(header.Get("Authorization"), " ")
+	if key = strings.TrimSpace(key); len(key) >= minKey {
+		maps.DeleteFunc(forwarded, func(_ string, values []string) bool {
+			return slices.ContainsFunc(values, func(value string) bool { return strings.Contains(value, key) })
+		})
+	}
 	return forwarded
 }
