Write an admitted request to the map of open ones once

Cause: a request was written to the map when it arrived and again when it was sent, although most are admitted within the same step.

Change: the request that arrived last is held beside the map until the next event of the flow part. A request that fails at admission need not be in the map, so failed refuses without looking it up.

--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -73,10 +73,19 @@
 	crashCounted bool
 }
 
+// entering is a request that is not yet in the map of open ones.
+type entering struct {
+	call   call
+	ticket model.Ticket
+}
+
 // State holds the open requests of this node.
 type State struct {
 	draining bool
 	open     *immutable.Map[model.Ticket, call]
+	// entering is the last request that arrived, until the next event, or nil.
+	// Most are admitted by that event and are then written to open once.
+	entering *entering
 	// uses holds the upstreams that run a request of this node or were full a
 	// short time ago. It has no entry for others, which keeps it small.
 	uses *immutable.Map[model.UpstreamName, use]
@@ -104,6 +113,12 @@
 // Apply takes traffic events and the answers of the other parts.
 func (s State) Apply(in step.Input[event.Event], facts Facts) (State, Out) {
 	var out Out
+	if granted, ok := in.Event.(event.AdmissionGranted); ok && s.entering != nil && granted.Ticket == s.entering.ticket {
+		c := s.entering.call
+		s.entering = nil
+		return s.admitted(granted.Ticket, c, facts, &out), out
+	}
+	s = s.entered()
 	switch e := in.Event.(type) {
 	case event.RequestArrived:
 		s = s.arrived(e, facts, &out)
@@ -139,7 +154,12 @@
 func (s State) Draining() bool { return s.draining }
 
 // Open returns the number of open requests.
-func (s State) Open() int { return s.open.Len() }
+func (s State) Open() int {
+	if s.entering != nil {
+		return s.open.Len() + 1
+	}
+	return s.open.Len()
+}
 
 func (s State) arrived(e event.RequestArrived, facts Facts, out *Out) State {
 	c, reason, ok := s.check(&e.Request, facts)
@@ -147,11 +167,11 @@
 		refuse(e.Ticket, refusal(reason, model.NotRun, retryAfter(reason)), out)
 		return s
 	}
-	s.open = s.open.Set(e.Ticket, c)
 	s.retries = s.retries.WithRequest(facts.At)
 	if c.account == "" {
-		return s.granted(e.Ticket, facts, out)
+		return s.admitted(e.Ticket, c, facts, out)
 	}
+	s.entering = &entering{call: c, ticket: e.Ticket}
 	out.Raise(event.AdmissionAsked{
 		Ticket:   e.Ticket,
 		Account:  c.account,
@@ -161,6 +181,15 @@
 	return s
 }
 
+// entered writes the request that is entering to the open ones.
+func (s State) entered() State {
+	if s.entering != nil {
+		s.open = s.open.Set(s.entering.ticket, s.entering.call)
+		s.entering = nil
+	}
+	return s
+}
+
 // check decides whether a request may enter.
 func (s State) check(request *model.Request, facts Facts) (call, model.Reason, bool) {
 	c := call{request: request}
@@ -231,6 +260,12 @@
 	if !ok {
 		return s
 	}
+	return s.admitted(ticket, c, facts, out)
+}
+
+// admitted goes on with a request that has its token or needs none. The
+// request need not be among the open ones yet.
+func (s State) admitted(ticket model.Ticket, c call, facts Facts, out *Out) State {
 	if !c.mustClaim {
 		return s.dispatched(ticket, c, facts, out)
 	}
@@ -368,8 +403,9 @@
 	return s
 }
 
-// failed ends a request that may hold a claim. After an attempt without an
-// answer the outcome stays unknown, whatever became of later ones.
+// failed ends a request that may hold a claim, and that need not be among the
+// open ones yet. After an attempt without an answer the outcome stays unknown,
+// whatever became of later ones.
 func (s State) failed(ticket model.Ticket, c call, r model.Refusal, out *Out) State {
 	if c.mayHaveRun {
 		r = refusal(r.Reason, model.OutcomeUnknown, r.RetryAfterSeconds)
@@ -377,7 +413,9 @@
 	if c.mustClaim {
 		out.Raise(event.ClaimEnded{Ticket: ticket, NotRun: r.Execution == model.NotRun})
 	}
-	return s.refused(ticket, r, out)
+	s.open = s.open.Delete(ticket)
+	refuse(ticket, r, out)
+	return s
 }
 
 func (s State) claimRefused(e event.ClaimRefused, out *Out) State {
