Add role targets and placement on pairs of engines

Cause: placement knew one engine per request, no role, no cheap share, and nothing proposed role changes. Change: core/roles computes a target for each zone from smoothed demand; core/place picks a prefill and a decode engine, corrects reported load by own sends, and keeps cheap shares.

--- /dev/null
+++ b/core/place/pairs_test.go
@@ -0,0 +1,154 @@
+package place
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"caroblane/core/model"
+)
+
+type engine struct {
+	worker
+	role    model.Role
+	zone    model.ZoneName
+	cheap   bool
+	backlog time.Duration
+}
+
+type engines []engine
+
+func (e engine) Role() model.Role       { return e.role }
+func (e engine) Zone() model.ZoneName   { return e.zone }
+func (e engine) Cheap() bool            { return e.cheap }
+func (e engine) Backlog() time.Duration { return e.backlog }
+func (e engines) Len() int              { return len(e) }
+func (e engines) At(i int) engine       { return e[i] }
+
+var pairs = Pairs[engine]{
+	PromptToken: 100 * time.Microsecond, Mixing: 2, MixBelow: 0.5, TransferBase: 5 * time.Millisecond,
+	TransferToken: 2 * time.Microsecond, MaxBacklog: time.Second, Reserve: 0.5, Affinity: true,
+}
+
+func drawEngines(t *rapid.T) engines {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) engine {
+		return engine{
+			worker: worker{
+				hash: rapid.Uint64().Draw(t, "hash"), load: rapid.Float64Range(0, 1.2).Draw(t, "load"),
+				down: rapid.Bool().Draw(t, "down"),
+			},
+			role:    rapid.SampledFrom([]model.Role{model.RoleBoth, model.RolePrefill, model.RoleDecode}).Draw(t, "role"),
+			zone:    rapid.SampledFrom([]model.ZoneName{"a", "b"}).Draw(t, "zone"),
+			cheap:   rapid.Bool().Draw(t, "cheap"),
+			backlog: time.Duration(rapid.IntRange(0, 2000).Draw(t, "backlog")) * time.Millisecond,
+		}
+	}), 0, 20).Draw(t, "engines")
+}
+
+// Guards against unusable or full engines, cheap engines for work that must
+// not use them or beyond the room kept for a reclaim, engines of the wrong
+// role, and work that waits although engines are free.
+func TestPickPair(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := drawEngines(t)
+		policy := pairs
+		policy.PreferCheap = rapid.Bool().Draw(t, "prefer cheap")
+		job := Job{
+			Key: rapid.Uint64().Draw(t, "key"), Prompt: rapid.IntRange(1, 9000).Draw(t, "prompt"),
+			Cheap: rapid.Bool().Draw(t, "cheap"),
+		}
+		plan, ok := policy.Pick(list, job, rapid.Uint64().Draw(t, "draw"))
+		free, room, taken := 0.0, false, map[model.ZoneName]float64{}
+		prefill, decode := false, false
+		for _, e := range list {
+			if e.cheap {
+				taken[e.zone] += e.load
+			} else if !e.down {
+				free += max(0, 1-e.load)
+				open := e.load < 1
+				prefill = prefill || open && e.role == model.RolePrefill && e.backlog <= policy.MaxBacklog
+				decode = decode || open && e.role != model.RolePrefill
+				room = room || e.role != model.RolePrefill && e.load < policy.MixBelow && e.backlog <= policy.MaxBacklog
+			}
+		}
+		if !ok {
+			if room || prefill && decode {
+				t.Fatal("no engines picked although some are free")
+			}
+			return
+		}
+		for _, i := range []int{plan.Prefill, plan.Decode} {
+			e := list[i]
+			if e.down || e.load >= 1 {
+				t.Fatalf("picked engine %d: down %v, load %.2f", i, e.down, e.load)
+			}
+			if e.cheap && (!job.Cheap || taken[e.zone] >= policy.Reserve*free) {
+				t.Fatalf("picked cheap engine %d: %.2f taken, %.2f free", i, taken[e.zone], free)
+			}
+		}
+		if list[plan.Decode].role == model.RolePrefill || list[plan.Prefill].backlog > policy.MaxBacklog {
+			t.Fatalf("picked %+v to generate and %+v for the prompt", list[plan.Decode], list[plan.Prefill])
+		}
+	})
+}
+
+// Guards against a transfer that takes longer than computing the prompt again,
+// and against the opposite.
+func TestTransferOnlyIfCheaper(t *testing.T) {
+	list := engines{
+		{role: model.RolePrefill, backlog: 30 * time.Millisecond},
+		{role: model.RoleBoth},
+	}
+	for prompt, transfer := range map[int]bool{100: false, 300: false, 400: true, 8000: true} {
+		plan, ok := pairs.Pick(list, Job{Prompt: prompt}, 0)
+		if !ok || (plan.Prefill != plan.Decode) != transfer {
+			t.Errorf("prompt of %d tokens: plan %v, want transfer %v", prompt, plan, transfer)
+		}
+	}
+}
+
+// Guards against an account whose work on cheap upstreams exceeds its share.
+func TestShareIsKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.Float64Range(0, 1).Draw(t, "limit")
+		shares, at := NewShares[string](time.Minute), time.Unix(0, 0)
+		all, cheap := 0.0, 0.0
+		for range 50 {
+			work := rapid.Float64Range(1, 1000).Draw(t, "work")
+			use := shares.Allows("a", at, work, limit)
+			shares = shares.WithWork("a", at, work, use)
+			all += work
+			if use {
+				cheap += work
+			}
+			if cheap > limit*all*1.000001 {
+				t.Fatalf("%.0f of %.0f on cheap upstreams with a limit of %.3f", cheap, all, limit)
+			}
+		}
+		if limit == 1 && cheap < all {
+			t.Fatal("work kept from cheap upstreams without need")
+		}
+	})
+}
+
+// Guards against sends that are forgotten before a report covers them, and
+// against sends that count twice.
+func TestTrackerCorrectsLag(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tracker, at := NewTracker[string](), time.Unix(0, 0)
+		var total, reported float64
+		for range rapid.IntRange(1, 150).Draw(t, "sends") {
+			at = at.Add(time.Millisecond)
+			total++
+			tracker = tracker.WithSend("a", at, 1)
+			if rapid.IntRange(0, 9).Draw(t, "report") == 0 {
+				reported = total
+				tracker = tracker.WithReport("a", at, reported)
+			}
+		}
+		if got := tracker.Load("a"); got != total {
+			t.Fatalf("load %.0f after %.0f sends, %.0f of them reported", got, total, reported)
+		}
+	})
+}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -97,10 +97,19 @@
 // key, or -1 where there are fewer. The second takes over when the first one
 // is full, so that a prefix has two homes and not many.
 func owners[C Candidate](list List[C], key uint64) [2]int {
+	return ownersOf(list, key, func(C) bool { return true })
+}
+
+// ownersOf returns the owners among some of the candidates.
+func ownersOf[C Candidate](list List[C], key uint64, among func(C) bool) [2]int {
 	first, second := -1, -1
 	var firstScore, secondScore uint64
 	for i := range list.Len() {
-		score := mix(list.At(i).Hash() ^ key)
+		c := list.At(i)
+		if !among(c) {
+			continue
+		}
+		score := mix(c.Hash() ^ key)
 		switch {
 		case first < 0 || score > firstScore:
 			second, secondScore = first, firstScore
--- /dev/null
+++ b/core/roles/roles_test.go
@@ -0,0 +1,155 @@
+package roles
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"caroblane/core/model"
+)
+
+var begin = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func engines(prefill, decode, both int, zone model.ZoneName) []Engine[string] {
+	var list []Engine[string]
+	for role, n := range map[model.Role]int{
+		model.RolePrefill: prefill, model.RoleDecode: decode, model.RoleBoth: both,
+	} {
+		for i := range n {
+			list = append(list, Engine[string]{
+				ID: fmt.Sprintf("%s-%s-%d", zone, role, i), Zone: zone, Role: role, Usable: true,
+			})
+		}
+	}
+	return list
+}
+
+// Guards against a role under its minimum, two changes of a zone at a time, a
+// change inside the band or in a rest, and changes while a zone is lost.
+func TestProposals(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := Options{
+			Term: 10 * time.Second, PrefillRate: 10, DecodeRate: 1,
+			Band:       rapid.Float64Range(0.5, 2).Draw(t, "band"),
+			MinPrefill: rapid.IntRange(0, 2).Draw(t, "minimum prefill"),
+			MinDecode:  rapid.IntRange(0, 2).Draw(t, "minimum decode"),
+			MinBoth:    rapid.IntRange(0, 2).Draw(t, "minimum both"),
+			Rest:       20 * time.Second,
+		}
+		zones := []model.ZoneName{"a", "b", "c"}
+		var list []Engine[string]
+		for _, zone := range zones {
+			count := rapid.IntRange(0, 4)
+			list = append(list, engines(o.MinPrefill+count.Draw(t, "p"), o.MinDecode+count.Draw(t, "d"),
+				o.MinBoth+count.Draw(t, "b"), zone)...)
+		}
+		target, at := New(o, begin), begin
+		rests := map[model.ZoneName]time.Time{}
+		t.Repeat(map[string]func(*rapid.T){
+			"work": func(t *rapid.T) {
+				at = at.Add(time.Duration(rapid.IntRange(0, 9000).Draw(t, "pause")) * time.Millisecond)
+				target = target.WithWork(at, rapid.Float64Range(0, 1000).Draw(t, "prompt"),
+					rapid.Float64Range(0, 100).Draw(t, "output"))
+			},
+			"fail": func(t *rapid.T) {
+				if len(list) > 0 {
+					i := rapid.IntRange(0, len(list)-1).Draw(t, "engine")
+					list[i].Usable = !list[i].Usable
+				}
+			},
+			"done": func(*rapid.T) {
+				for i := range list {
+					list[i].Changing = false
+				}
+			},
+			"lose": func(*rapid.T) { target = target.WithLost("z") },
+			"find": func(*rapid.T) { target = target.WithPresent("z") },
+			"propose": func(t *rapid.T) {
+				changes := Propose(target, at, list)
+				if target.lost.Len() > 0 && len(changes) > 0 {
+					t.Fatalf("%d changes while a zone is lost", len(changes))
+				}
+				for _, zone := range zones {
+					checkZone(t, target, at, rests, zone, list, changes)
+				}
+				for _, c := range changes {
+					target = target.WithChange(c.Zone, at)
+					rests[c.Zone] = at.Add(o.Rest)
+					for i := range list {
+						if list[i].ID == c.ID {
+							list[i].Role, list[i].Changing = c.To, true
+						}
+					}
+				}
+			},
+		})
+	})
+}
+
+func checkZone(
+	t *rapid.T, target Target, at time.Time, rests map[model.ZoneName]time.Time,
+	zone model.ZoneName, list []Engine[string], changes []Change[string],
+) {
+	have, members, changing := map[model.Role]int{}, 0, false
+	for _, e := range list {
+		if e.Zone == zone && e.Usable {
+			have[e.Role]++
+			members++
+			changing = changing || e.Changing
+		}
+	}
+	count := 0
+	for _, c := range changes {
+		if c.Zone != zone {
+			continue
+		}
+		count++
+		if members == 0 || changing || at.Before(rests[zone]) {
+			t.Fatalf("change in zone %s: %d engines, changing %v, rest until %s", zone, members, changing, rests[zone])
+		}
+		minimum := map[model.Role]int{
+			model.RolePrefill: target.options.MinPrefill, model.RoleDecode: target.options.MinDecode,
+			model.RoleBoth: target.options.MinBoth,
+		}
+		if have[c.From]-1 < minimum[c.From] {
+			t.Fatalf("%s is under its minimum in zone %s", c.From, zone)
+		}
+		wanted, _ := target.Wanted(members)
+		lack := map[model.Role]float64{
+			model.RolePrefill: wanted.Prefill, model.RoleDecode: wanted.Decode, model.RoleBoth: wanted.Both,
+		}[c.To] - float64(have[c.To])
+		if lack <= target.options.Band {
+			t.Fatalf("change to %s in zone %s inside the band: lack %.2f", c.To, zone, lack)
+		}
+	}
+	if count > 1 {
+		t.Fatalf("%d changes at a time in zone %s", count, zone)
+	}
+}
+
+// Guards against a target that never follows the demand.
+func TestFollowsLastingDemand(t *testing.T) {
+	o := Options{Term: 10 * time.Second, PrefillRate: 10, DecodeRate: 1, Band: 0.6, MinPrefill: 1, MinDecode: 1}
+	target := New(o, begin).WithWork(begin, 600, 20)
+	list := engines(1, 7, 0, "a")
+	for range 10 {
+		for _, c := range Propose(target, begin, list) {
+			for i := range list {
+				if list[i].ID == c.ID {
+					list[i].Role = c.To
+				}
+			}
+		}
+	}
+	prefill := 0
+	for _, e := range list {
+		if e.Role == model.RolePrefill {
+			prefill++
+		}
+	}
+	if prefill != 6 {
+		t.Errorf("%d prefill engines for three quarters of the work, want 6 of 8", prefill)
+	}
+}
