--- /dev/null
+++ b/core/policy/preset.go
@@ -0,0 +1,77 @@
+// Package policy holds the presets of the placement and role policies and the
+// measurement that compares them with baselines.
+package policy
+
+import (
+	"time"
+
+	"caroblane/core/place"
+	"caroblane/core/roles"
+)
+
+// Preset is a choice of parameters for one installation.
+type Preset struct {
+	Name  string
+	Roles roles.Options
+	// MaxBacklog is the longest wait of a prompt on an engine.
+	MaxBacklog time.Duration
+	// Reserve is the part of the free room that cheap engines of a zone fill.
+	Reserve float64
+	// PreferCheap fills cheap engines first.
+	PreferCheap bool
+	// Affinity sends prompts to the engines that have their prefix.
+	Affinity bool
+}
+
+// Costs are the speeds of an installation's engines.
+type Costs struct {
+	PromptToken                 time.Duration
+	Mixing, MixBelow            float64
+	TransferBase, TransferToken time.Duration
+}
+
+// Qalam gives more weight to the evening's goodput and the worst-served
+// client account.
+func Qalam(prefillRate, decodeRate float64) Preset {
+	return Preset{
+		Name:       "Qalam",
+		Roles:      options(prefillRate, decodeRate),
+		MaxBacklog: 250 * time.Millisecond,
+		Reserve:    0.25,
+		Affinity:   true,
+	}
+}
+
+// Changfa gives more weight to cost, the cheap share and wrongful refusals.
+func Changfa(prefillRate, decodeRate float64) Preset {
+	return Preset{
+		Name:        "Changfa",
+		Roles:       options(prefillRate, decodeRate),
+		MaxBacklog:  time.Second,
+		Reserve:     0.5,
+		PreferCheap: true,
+		Affinity:    true,
+	}
+}
+
+func options(prefillRate, decodeRate float64) roles.Options {
+	return roles.Options{
+		Term:        30 * time.Second,
+		PrefillRate: prefillRate,
+		DecodeRate:  decodeRate,
+		Band:        0.75,
+		MinPrefill:  1,
+		MinDecode:   1,
+		MinBoth:     2,
+		Rest:        20 * time.Second,
+	}
+}
+
+// Pairs returns a preset's placement over engines of the given speeds.
+func Pairs[C place.Engine](p Preset, c Costs) place.Pairs[C] {
+	return place.Pairs[C]{
+		PromptToken: c.PromptToken, Mixing: c.Mixing, MixBelow: c.MixBelow,
+		TransferBase: c.TransferBase, TransferToken: c.TransferToken,
+		MaxBacklog: p.MaxBacklog, Reserve: p.Reserve, PreferCheap: p.PreferCheap, Affinity: p.Affinity,
+	}
+}
