Drain the corrected backlog and share the queue by rate

Cause: (1) reports are up to 450 ms old, so work that an engine had already done kept prompts in the queue. (2) Equal shares gave the account with 0.4 of the rate no more than one with 0.1. Change: (1) Tracker.Drained works the load off at the engine's rate. (2) The cost of a queued item is divided by its account's rate.

--- a/core/place/track.go
+++ b/core/place/track.go
@@ -70,3 +70,15 @@
 	last, _ := t.loads.Get(key)
 	return last.reported + last.sum
 }
+
+// Drained returns the corrected load of a candidate that works off its load at
+// a rate a second. Without it, work that was done since the report counts.
+func (t Tracker[K]) Drained(key K, at time.Time, rate float64) float64 {
+	last, _ := t.loads.Get(key)
+	level, from := last.reported, last.at
+	for _, s := range last.sends {
+		level = max(0, level-rate*s.at.Sub(from).Seconds()) + s.amount
+		from = s.at
+	}
+	return max(0, level-rate*at.Sub(from).Seconds())
+}
--- a/core/policy/slice_test.go
+++ b/core/policy/slice_test.go
@@ -137,7 +137,11 @@
 func (v view) Zone() model.ZoneName { return v.zone }
 func (v view) Cheap() bool          { return v.cheap }
 func (v view) Backlog() time.Duration {
-	return time.Duration(v.s.backlogs.Load(v.id))
+	rate := float64(time.Second)
+	if v.role != model.RolePrefill {
+		rate /= 2
+	}
+	return time.Duration(v.s.backlogs.Drained(v.id, clock(v.s.now), rate))
 }
 
 func (v view) Load() (float64, bool) {
@@ -352,7 +356,7 @@
 			if held == j.decode || j.got == 0 {
 				held.used--
 			}
-			if held == j.prefill && held == j.decode {
+			if j.prefill == j.decode {
 				break
 			}
 		}
@@ -374,12 +378,14 @@
 
 func (s *slice) enqueue(j *job) {
 	j.queued = s.now
-	owner := 0
+	owner, cost := 0, float64(j.output)+float64(j.prompt)/10+1
 	if s.row.fair {
+		// Accounts get service in proportion to their rates.
 		owner = j.account
+		cost /= weights[j.account]
 	}
 	s.queue = s.queue.WithItem(owner, fair.Item[*job]{
-		Value: j, Cost: float64(j.output) + float64(j.prompt)/10 + 1, Since: clock(s.now),
+		Value: j, Cost: cost, Since: clock(s.now),
 	})
 }
 
