Serve requests that missed their target after the others

Cause: under overload every request waited until it had missed the target for its first token, and was then served before those that could still keep it. Change: preset Qalam moves late requests to lanes of a lower priority.

--- a/core/fair/fair.go
+++ b/core/fair/fair.go
@@ -57,6 +57,15 @@
 	return l.items.Len()
 }
 
+// First returns the oldest item of an owner.
+func (q Queue[K, T]) First(owner K) (Item[T], bool) {
+	l, ok := q.lanes.Get(owner)
+	if !ok || l.items.Len() == 0 {
+		return Item[T]{}, false
+	}
+	return l.items.Get(0), true
+}
+
 // WithItem returns the queue with one more item of an owner.
 func (q Queue[K, T]) WithItem(owner K, item Item[T]) Queue[K, T] {
 	l, ok := q.lanes.Get(owner)
--- a/core/policy/compare_test.go
+++ b/core/policy/compare_test.go
@@ -142,7 +142,7 @@
 		shares := place.NewShares[int](time.Minute)
 		work := func(j *job) float64 { return float64(j.output) + float64(j.prompt)/10 }
 		return row{
-			name: name, roles: planned, fair: true,
+			name: name, roles: planned, fair: true, lateLast: p.LateLast,
 			pick: func(s *slice, j *job, draw uint64) (place.Plan, bool) {
 				cheap := j.restartable && shares.Allows(j.account, clock(s.now), work(j), cheapShare[j.account])
 				key := j.key
--- a/core/policy/preset.go
+++ b/core/policy/preset.go
@@ -21,6 +21,9 @@
 	PreferCheap bool
 	// Affinity sends prompts to the engines that have their prefix.
 	Affinity bool
+	// LateLast serves requests that missed the target for the first token
+	// after all that can still keep it.
+	LateLast bool
 }
 
 // Costs are the speeds of an installation's engines.
@@ -39,6 +42,7 @@
 		MaxBacklog: 250 * time.Millisecond,
 		Reserve:    0.25,
 		Affinity:   true,
+		LateLast:   true,
 	}
 }
 
--- a/core/policy/slice_test.go
+++ b/core/policy/slice_test.go
@@ -33,6 +33,7 @@
 	admitTerm     = 2 * time.Second
 	firstTarget   = 450 * time.Millisecond
 	nextTarget    = 51 * time.Millisecond
+	latePriority  = -10
 	// decodeRate is the tokens a second of an engine with 40 requests.
 	prefillRate, decodeRate = 10000.0, 1143.0
 
@@ -200,6 +201,8 @@
 	adjust func(s *slice) map[int]model.Role
 	// fair is false for one queue over all accounts.
 	fair bool
+	// lateLast serves requests that missed their target after the others.
+	lateLast bool
 	// placed is told of every placement.
 	placed func(s *slice, j *job)
 	// arrived is told of every request.
@@ -391,6 +394,9 @@
 
 // serve places waiting requests and refuses those that waited too long.
 func (s *slice) serve() {
+	if s.row.lateLast {
+		s.demote()
+	}
 	for s.queue.Len() > 0 {
 		owner, item, ok := s.queue.Next(clock(s.now), func(j *job) bool {
 			if s.now > j.queued+admitTerm {
@@ -416,6 +422,22 @@
 	}
 }
 
+// demote moves requests that missed the target for the first token to lanes of
+// a lower priority, so that they delay none that can still keep it.
+func (s *slice) demote() {
+	for a := range weights {
+		for {
+			item, ok := s.queue.First(a)
+			if !ok || s.now <= item.Value.at+firstTarget {
+				break
+			}
+			s.queue = s.queue.Without(a, item.Value)
+			item.Priority = latePriority
+			s.queue = s.queue.WithItem(len(weights)+a, item)
+		}
+	}
+}
+
 func (s *slice) place(j *job) bool {
 	plan, ok := s.row.pick(s, j, s.rng.Uint64())
 	if !ok {
