--- a/core/policy/preset.go
+++ b/core/policy/preset.go
@@ -37,12 +37,13 @@
 // client account.
 func Qalam(prefillRate, decodeRate float64) Preset {
 	return Preset{
-		Name:       "Qalam",
-		Roles:      options(prefillRate, decodeRate),
-		MaxBacklog: 250 * time.Millisecond,
-		Reserve:    0.25,
-		Affinity:   true,
-		LateLast:   true,
+		Name:        "Qalam",
+		Roles:       options(prefillRate, decodeRate),
+		MaxBacklog:  250 * time.Millisecond,
+		Reserve:     0.5,
+		PreferCheap: true,
+		Affinity:    true,
+		LateLast:    true,
 	}
 }
 
