--- a/core/place/pairs.go
+++ b/core/place/pairs.go
@@ -26,6 +26,9 @@
 	// Cheap allows cheap engines: the job can be started again, and its
 	// account is below its share.
 	Cheap bool
+	// Last jobs would be refused if they waited longer. They go to any engine
+	// with a free slot, although the first token or others are then late.
+	Last bool
 }
 
 // Plan names the engines of a job. They are the same if nothing is transferred.
@@ -108,13 +111,13 @@
 		i := int((draw%uint64(n) + uint64(step)) % uint64(n))
 		c := list.At(i)
 		load, ok := c.Load()
-		if !ok || load >= 1 || !allowed(c) || c.Backlog() > p.MaxBacklog {
+		if !ok || load >= 1 || !allowed(c) || !job.Last && c.Backlog() > p.MaxBacklog {
 			continue
 		}
 		plan := Plan{i, decode}
 		token := p.PromptToken
 		if c.Role() != model.RolePrefill {
-			if load >= p.MixBelow {
+			if load >= p.MixBelow && !job.Last {
 				continue
 			}
 			plan.Decode = i
--- a/core/policy/preset.go
+++ b/core/policy/preset.go
@@ -24,6 +24,9 @@
 	// LateLast serves requests that missed the target for the first token
 	// after all that can still keep it.
 	LateLast bool
+	// Last is the time before the refusal of a waiting request in which it
+	// goes to any engine with a free slot.
+	Last time.Duration
 }
 
 // Costs are the speeds of an installation's engines.
@@ -52,10 +55,12 @@
 	return Preset{
 		Name:        "Changfa",
 		Roles:       options(prefillRate, decodeRate),
-		MaxBacklog:  time.Second,
+		MaxBacklog:  250 * time.Millisecond,
 		Reserve:     0.5,
 		PreferCheap: true,
 		Affinity:    true,
+		LateLast:    true,
+		Last:        200 * time.Millisecond,
 	}
 }
 
