--- a/core/policy/compare_test.go
+++ b/core/policy/compare_test.go
@@ -197,12 +197,12 @@
 
 var columns = []string{
 	"good/s", "swing good/s", "evening good/s", "in target %", "worst account", "role changes",
-	"cost/1000 tokens", "cheap %", "refused in rate", "cut", "strict good/s",
+	"cost/1000 tokens", "cheap %", "refused in rate", "cut", "strict good/s", "strict swing good/s",
 }
 
 // figures returns the columns of the table for a finished run.
 func figures(s *slice) []float64 {
-	var strict, good, swing, night, offered, busy, tokens, work, cheap float64
+	var strict, strictSwing, good, swing, night, offered, busy, tokens, work, cheap float64
 	inRate, served := make([]float64, len(weights)), make([]float64, len(weights))
 	for _, j := range s.jobs {
 		w := float64(j.output) + float64(j.prompt)/10
@@ -223,6 +223,9 @@
 		good++
 		if j.first <= firstTarget {
 			strict++
+			if j.at >= swingFrom && j.at < swingTo {
+				strictSwing++
+			}
 		}
 		served[j.account] += w
 		switch {
@@ -255,6 +258,7 @@
 		good / endAt.Seconds(), swing / (swingTo - swingFrom).Seconds(), night / (endAt - swingTo).Seconds(),
 		100 * good / offered, worst, float64(s.changes), 1000 * busy / tokens, 100 * cheap / work,
 		float64(s.refused), float64(s.cuts), strict / endAt.Seconds(),
+		strictSwing / (swingTo - swingFrom).Seconds(),
 	}
 }
 
