Add benchmarks for the capacity page

Cause: the figures of docs/CAPACITY.md need measured slopes for members, exchanges, watch answers, VM lists, borrow calls, claims, records and an idle process; the repository had them for accounts, upstreams and requests only.

No check changes.

--- /dev/null
+++ b/cmd/caroblaned/capacity_test.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// BenchmarkIdle runs entry nodes without requests against the platform's
+// stand-in and reports figures of one node, averaged over all: processor time
+// and bytes until it is ready, and then processor time, bytes through system
+// calls and calls to the store in idleTerm, and memory at its end. Run it with
+// -benchtime 1x; GOGC passes through to the nodes. docs/CAPACITY.md uses it.
+func BenchmarkIdle(b *testing.B) {
+	for _, size := range []struct{ nodes, accounts, upstreams int }{{1, 5, 20}, {8, 5, 20}, {24, 5, 20}, {1, 11_000, 1_900}} {
+		b.Run(fmt.Sprintf("nodes=%d/accounts=%d/upstreams=%d", size.nodes, size.accounts, size.upstreams), func(b *testing.B) {
+			for range b.N {
+				idle(b, size.nodes, size.accounts, size.upstreams)
+			}
+		})
+	}
+}
+
+const idleTerm = 20 * time.Second
+
+var heapLine = regexp.MustCompile(`(\d+)->(\d+)->(\d+) MB, (\d+) MB goal`)
+
+// usage is what a process has used since it started.
+type usage struct {
+	cpu   time.Duration
+	bytes float64
+	rss   float64
+	// anon is the part of rss that no file backs.
+	anon float64
+}
+
+func idle(b *testing.B, nodes, accounts, upstreams int) {
+	dir := b.TempDir()
+	store := start(b, "caroblane-fake", "store", "--seed", seedOf(b, dir, accounts, upstreams)).log.String()
+	b.Setenv("GODEBUG", "gctrace=1")
+	defer b.Setenv("GODEBUG", "")
+	var processes []*process
+	var admins []string
+	for i := range nodes {
+		admin := freeAddress(b)
+		path := filepath.Join(dir, fmt.Sprintf("%d.ini", i))
+		text := fmt.Sprintf("[Node]\nName = node-%d\n[Listen]\nCallers = %s\nPeers = %s\nAdmin = %s\n[Platform]\nAddress = %s\n",
+			i, freeAddress(b), freeAddress(b), admin, store)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			b.Fatal(err)
+		}
+		processes = append(processes, start(b, "caroblaned", "--settings", path))
+		admins = append(admins, admin)
+	}
+	begun := time.Now()
+	for i, admin := range admins {
+		for !ready(admin) {
+			if time.Since(begun) > waitTerm {
+				b.Fatalf("node %d is not ready:\n%s", i, processes[i].log)
+			}
+			time.Sleep(waitPoll)
+		}
+	}
+	each := func(before, after float64) float64 { return (after - before) / float64(nodes) }
+	b.ReportMetric(time.Since(begun).Seconds(), "ready-s")
+	first, firstReads, firstWrites := sum(b, processes), 0.0, 0.0
+	b.ReportMetric(first.cpu.Seconds()/float64(nodes), "start-cpu-s")
+	b.ReportMetric(each(0, first.bytes), "start-B")
+	// The shares settle and the roster is written within this time.
+	time.Sleep(10 * time.Second)
+	first = sum(b, processes)
+	firstReads, firstWrites = storeCalls(b, store)
+	time.Sleep(idleTerm)
+	last := sum(b, processes)
+	reads, writes := storeCalls(b, store)
+	b.ReportMetric(each(float64(first.cpu), float64(last.cpu))/float64(idleTerm)*100, "idle-%core")
+	b.ReportMetric(each(first.bytes, last.bytes)/idleTerm.Seconds(), "idle-B/s")
+	b.ReportMetric(each(firstReads, reads)/idleTerm.Seconds(), "reads/s")
+	b.ReportMetric(each(firstWrites, writes)/idleTerm.Seconds(), "writes/s")
+	b.ReportMetric(each(0, last.rss)/1e6, "rss-MB")
+	b.ReportMetric(each(0, last.anon)/1e6, "anon-MB")
+	lines := heapLine.FindAllStringSubmatch(processes[0].log.String(), -1)
+	if len(lines) > 0 {
+		line := lines[len(lines)-1]
+		b.Logf("%d collections in node 0, last: %s", len(lines), line[0])
+		live, _ := strconv.ParseFloat(line[3], 64)
+		goal, _ := strconv.ParseFloat(line[4], 64)
+		b.ReportMetric(live, "heap-live-MB")
+		b.ReportMetric(goal, "heap-goal-MB")
+	}
+	b.ReportMetric(float64(len(httpText(b, "http://"+admins[0]+"/metrics"))), "metrics-B")
+	b.ReportMetric(0, "ns/op")
+}
+
+// seedOf writes the initial objects of the store.
+func seedOf(b *testing.B, dir string, accounts, upstreams int) string {
+	objects := []object{{"Model", modelName, map[string]any{"MaxTokens": 4096}}}
+	for i := range accounts {
+		name := fmt.Sprintf("account-%d", i)
+		hash := sha256.Sum256([]byte(name))
+		objects = append(objects,
+			object{"Template", name, map[string]any{"Rate": 10, "Burst": 20}},
+			object{"Key", name, map[string]any{"Account": name, "Hash": hex.EncodeToString(hash[:]), "State": "Active"}})
+	}
+	for i := range upstreams {
+		objects = append(objects, object{"Upstream", fmt.Sprintf("engine-%d", i), map[string]any{
+			"Kind": "Engine", "Address": fmt.Sprintf("127.0.0.1:%d", 20_000+i), "Zone": "a", "Models": []string{modelName}, "Slots": 16,
+		}})
+	}
+	data, err := json.Marshal(objects)
+	if err != nil {
+		b.Fatal(err)
+	}
+	path := filepath.Join(dir, "seed.json")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		b.Fatal(err)
+	}
+	return path
+}
+
+func ready(admin string) bool {
+	response, err := http.Get("http://" + admin + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func storeCalls(b *testing.B, store string) (reads, writes float64) {
+	var stats struct{ Reads, Writes float64 }
+	if err := json.Unmarshal([]byte(httpText(b, "http://"+store+"/stats")), &stats); err != nil {
+		b.Fatal(err)
+	}
+	return stats.Reads, stats.Writes
+}
+
+// sum adds up what the processes have used.
+func sum(b *testing.B, processes []*process) usage {
+	var total usage
+	for _, p := range processes {
+		read := func(name string) string {
+			data, err := os.ReadFile(fmt.Sprintf("/proc/%d/%s", p.command.Process.Pid, name))
+			if err != nil {
+				b.Fatal(err)
+			}
+			return string(data)
+		}
+		// The fields follow the program's name in parentheses; utime and stime
+		// are in ticks of 10 ms.
+		stat := read("stat")
+		fields := strings.Fields(stat[strings.LastIndex(stat, ")")+1:])
+		for _, field := range fields[11:13] {
+			total.cpu += time.Duration(number(b, field)) * 10 * time.Millisecond
+		}
+		for line := range strings.Lines(read("io")) {
+			if name, value, _ := strings.Cut(line, ":"); name == "rchar" || name == "wchar" {
+				total.bytes += number(b, value)
+			}
+		}
+		for line := range strings.Lines(read("status")) {
+			if name, value, _ := strings.Cut(line, ":"); name == "VmRSS" || name == "RssAnon" {
+				size := number(b, strings.TrimSuffix(strings.TrimSpace(value), " kB")) * 1024
+				if name == "VmRSS" {
+					total.rss += size
+				} else {
+					total.anon += size
+				}
+			}
+		}
+	}
+	return total
+}
+
+func number(b *testing.B, text string) float64 {
+	n, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return n
+}
--- a/cmd/caroblaned/harness_test.go
+++ b/cmd/caroblaned/harness_test.go
@@ -103,7 +103,7 @@
 	Value any
 }
 
-func start(t *testing.T, name string, args ...string) *process {
+func start(t testing.TB, name string, args ...string) *process {
 	t.Helper()
 	dir, err := programs()
 	if err != nil {
@@ -401,7 +401,7 @@
 }
 
 // freeAddress returns a loopback address that was free a moment ago.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -411,7 +411,7 @@
 	return listener.Addr().String()
 }
 
-func httpText(t *testing.T, url string) string {
+func httpText(t testing.TB, url string) string {
 	t.Helper()
 	response, err := http.Get(url)
 	if err != nil {
--- /dev/null
+++ b/io/link/bench_test.go
@@ -0,0 +1,86 @@
+package link
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"caroblane/core/effect"
+	"caroblane/core/event"
+	"caroblane/core/model"
+)
+
+// countedConn counts the bytes on a connection in both directions.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkCalls measures calls between two nodes over loopback: the processor
+// time of both ends and the bytes in both directions above TCP. The control
+// loops are stand-ins, so that the figures are those of encoding and HTTP.
+// docs/CAPACITY.md uses it.
+func BenchmarkCalls(b *testing.B) {
+	status := model.PeerStatus{
+		Region: "om-north", Name: "om-north-a-01", Incarnation: 1 << 62, Version: 50_000, Low: 50_000,
+		Remaining: 5 * time.Second, Contact: true,
+	}
+	for name, e := range map[string]func(model.Member) effect.Effect{
+		"exchange": func(to model.Member) effect.Effect { return effect.Exchange{Peer: to, Status: status} },
+		"borrow": func(to model.Member) effect.Effect {
+			return effect.Borrow{Peer: to.Name, Account: "account-1", Seq: 1, Want: model.Allowance{Rate: 5, Burst: 6, Level: 7}}
+		},
+	} {
+		b.Run(name, func(b *testing.B) {
+			p, _ := newPeer(b, func(asked event.Event) effect.Reply {
+				if asked, ok := asked.(event.ExchangeAsked); ok {
+					return effect.ExchangeReply{Ticket: asked.Ticket, Status: status}
+				}
+				return reply(asked)
+			})
+			var bytes atomic.Int64
+			transport := NewTransport()
+			dial := transport.DialContext
+			transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := dial(ctx, network, address)
+				return countedConn{conn, &bytes}, err
+			}
+			client, posted := newClient(b, http.RoundTripper(transport), p.member)
+			b.ReportAllocs()
+			b.ResetTimer()
+			before := cpu(b)
+			for range b.N {
+				client.Execute(b.Context(), e(p.member))
+				<-p.asked
+				<-posted
+			}
+			b.ReportMetric(float64(cpu(b)-before)/float64(b.N), "cpu-ns/op")
+			b.ReportMetric(float64(bytes.Load())/float64(b.N), "wire-B/op")
+		})
+	}
+}
+
+// cpu returns the processor time of this process.
+func cpu(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -46,7 +46,7 @@
 	return nil
 }
 
-func newPeer(t *testing.T, answer func(event.Event) effect.Reply) (*peer, *httptest.Server) {
+func newPeer(t testing.TB, answer func(event.Event) effect.Reply) (*peer, *httptest.Server) {
 	t.Helper()
 	server := httptest.NewUnstartedServer(nil)
 	p := &peer{
@@ -60,7 +60,7 @@
 }
 
 // newClient returns a running client and the events that it posts.
-func newClient(t *testing.T, transport http.RoundTripper, members ...model.Member) (*Client, posts) {
+func newClient(t testing.TB, transport http.RoundTripper, members ...model.Member) (*Client, posts) {
 	t.Helper()
 	posted := make(posts, 64)
 	now := time.Unix(1000, 0)
--- /dev/null
+++ b/io/plat/watch_bench_test.go
@@ -0,0 +1,116 @@
+package plat
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"caroblane/core/step"
+	"caroblane/fake/store"
+)
+
+// countedConn counts the bytes on a connection in both directions.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkWatchAnswer measures a watch answer with the given number of
+// objects: bytes in both directions above TCP, and the processor time of the
+// client and of the stand-in together. docs/CAPACITY.md uses it.
+func BenchmarkWatchAnswer(b *testing.B) {
+	for _, objects := range []int{0, 1, 1000} {
+		b.Run(fmt.Sprintf("objects=%d", objects), func(b *testing.B) {
+			state := store.NewState(store.DefaultLimits())
+			for i := range objects {
+				state = state.Seed(store.Object{
+					Kind: "Template", Name: fmt.Sprintf("account-%d", i), Value: json.RawMessage(`{"Priority":1,"Rate":10,"Burst":20,"CheapShare":0.5}`),
+				})
+			}
+			settings := benchStore(b, state)
+			settings.WatchWait = 0
+			c := New(settings, make(inbox, 1), rand.New(rand.NewPCG(1, 1)), SystemClock{})
+			bytes := c.counted(b)
+			b.ReportAllocs()
+			b.ResetTimer()
+			before := cpu(b)
+			for range b.N {
+				page, err := c.page(b.Context(), 0, pageLimit, time.Now())
+				if err != nil || len(page.Objects) != objects {
+					b.Fatalf("%d objects, %v", len(page.Objects), err)
+				}
+			}
+			b.ReportMetric(float64(cpu(b)-before)/float64(b.N), "cpu-ns/op")
+			b.ReportMetric(float64(bytes.Load())/float64(b.N), "wire-B/op")
+		})
+	}
+}
+
+// cpu returns the processor time of this process.
+func cpu(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkVMList measures a reading of the platform's VM list: bytes in both
+// directions above TCP, and the processor time of the client and of the
+// stand-in together. docs/CAPACITY.md uses it.
+func BenchmarkVMList(b *testing.B) {
+	for _, count := range []int{8, 330, 2230} {
+		b.Run(fmt.Sprintf("vms=%d", count), func(b *testing.B) {
+			limits := store.DefaultLimits()
+			limits.VMLag = 0
+			var vms []store.VM
+			for i := range count {
+				vms = append(vms, store.VM{Name: fmt.Sprintf("om-north-a-%d", i), Address: fmt.Sprintf("10.20.%d.%d", i/250, i%250), Zone: "om-north-a"})
+			}
+			state, _ := store.NewState(limits).Apply(step.Input[store.Event]{At: time.Now(), Event: store.SetVMs{VMs: vms}})
+			settings := benchStore(b, state)
+			c := New(settings, make(inbox, 1), rand.New(rand.NewPCG(1, 1)), SystemClock{})
+			bytes := c.counted(b)
+			b.ResetTimer()
+			before := cpu(b)
+			for range b.N {
+				listed, err := c.readVMs(b.Context())
+				if err != nil || len(listed.Addresses) != count {
+					b.Fatalf("%d VMs, %v", len(listed.Addresses), err)
+				}
+			}
+			b.ReportMetric(float64(cpu(b)-before)/float64(b.N), "cpu-ns/op")
+			b.ReportMetric(float64(bytes.Load())/float64(b.N), "wire-B/op")
+		})
+	}
+}
+
+// counted makes a client count the bytes on its connections.
+func (c *Client) counted(b *testing.B) *atomic.Int64 {
+	bytes := &atomic.Int64{}
+	dial := (&net.Dialer{}).DialContext
+	c.caller = newCaller(c.settings.Base, c.settings.Name, 1, func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		return countedConn{conn, bytes}, err
+	}, SystemClock{})
+	b.Cleanup(c.caller.http.CloseIdleConnections)
+	return bytes
+}
