--- a/cmd/caroblaned/capacity_test.go
+++ b/cmd/caroblaned/capacity_test.go
@@ -98,6 +98,7 @@
 		b.ReportMetric(goal, "heap-goal-MB")
 	}
 	b.ReportMetric(float64(len(httpText(b, "http://"+admins[0]+"/metrics"))), "metrics-B")
+	b.ReportMetric(float64(inForce(b, store, admins).Milliseconds()), "in-force-ms")
 	b.ReportMetric(0, "ns/op")
 }
 
@@ -127,6 +128,40 @@
 	return path
 }
 
+// inForce writes a template and returns the time until all nodes use it.
+func inForce(b *testing.B, store string, admins []string) time.Duration {
+	request, err := http.NewRequestWithContext(b.Context(), http.MethodPut, "http://"+store+"/objects/Template/late", strings.NewReader(`{"Rate":1,"Burst":1}`))
+	if err != nil {
+		b.Fatal(err)
+	}
+	request.Header.Set("If-Version", "0")
+	begun := time.Now()
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var written, status struct{ Version uint64 }
+	if err := json.NewDecoder(response.Body).Decode(&written); err != nil || written.Version == 0 {
+		b.Fatalf("version %d, %v", written.Version, err)
+	}
+	for _, admin := range admins {
+		for {
+			if err := json.Unmarshal([]byte(httpText(b, "http://"+admin+"/status")), &status); err != nil {
+				b.Fatal(err)
+			}
+			if status.Version >= written.Version {
+				break
+			}
+			if time.Since(begun) > waitTerm {
+				b.Fatalf("%s has version %d, not %d", admin, status.Version, written.Version)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return time.Since(begun)
+}
+
 func ready(admin string) bool {
 	response, err := http.Get("http://" + admin + "/readyz")
 	if err != nil {
