--- a/cmd/caroblaned/harness_test.go
+++ b/cmd/caroblaned/harness_test.go
@@ -106,7 +106,7 @@
 	Value any
 }
 
-func start(t *testing.T, name string, args ...string) *process {
+func start(t testing.TB, name string, args ...string) *process {
 	t.Helper()
 	dir, err := programs()
 	if err != nil {
@@ -422,7 +422,7 @@
 // taken by another package's listener on port 0, or by an outgoing connection:
 // the IP number, one of 127.0.0.0/8 by the process id, keeps out the first, and
 // a port below the ephemeral range (32768 and above) the second.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	const firstPort, ports = 10_000, 20_000
 	id := os.Getpid()
@@ -444,7 +444,7 @@
 	}
 }
 
-func httpText(t *testing.T, url string) string {
+func httpText(t testing.TB, url string) string {
 	t.Helper()
 	response, err := http.Get(url)
 	if err != nil {
