Give each region its share of an account's rate and burst

Cause: the design page said that a template divides the limits over regions, but nothing did: with two regions on one store each admitted the whole rate.

Change: RegionShares in the template, checked to sum to at most one; the node passes the share of its region to the limit part.

Figures: without the change TestRegionShares admits 4 requests at once where 2 and 0 are allowed; with it 2 and 0.

Moving a share between regions is not coordinated; the design page says in which order an operator does it.

--- a/core/conf/valid.go
+++ b/core/conf/valid.go
@@ -19,6 +19,8 @@
 	maxRate     = 1e6
 	maxSlots    = 65536
 	maxTokens   = 1 << 20
+	// shareSlack allows for rounding in sums such as 0.1 + 0.2 + 0.7.
+	shareSlack = 1e-9
 )
 
 // Errors is the namespace of this layer's errors.
@@ -125,9 +127,28 @@
 		inRange("CheapShare", template.CheapShare, 0, 1),
 		inRange("Priority", template.Priority, 0, maxPriority),
 		inRange("Models", len(template.Models), 0, maxModels),
+		validateShares(template.RegionShares),
 	)
 }
 
+// validateShares keeps the regions together within the account's limits.
+func validateShares(shares map[model.RegionName]float64) error {
+	sum := 0.0
+	for region, share := range shares {
+		if region == "" {
+			return fault("RegionShares", "an empty name", "names of regions")
+		}
+		if err := inRange("RegionShares."+string(region), share, 0, 1); err != nil {
+			return err
+		}
+		sum += share
+	}
+	if sum > 1+shareSlack {
+		return fault("RegionShares", sum, "shares whose sum is at most 1")
+	}
+	return nil
+}
+
 func validateUpstream(upstream model.Upstream) error {
 	return first(
 		validateAddress(upstream.Address),
--- a/core/model/config.go
+++ b/core/model/config.go
@@ -69,6 +69,10 @@
 	Burst float64
 	// CheapShare is the share of work, 0 to 1, allowed on cheap upstreams.
 	CheapShare float64
+	// RegionShares is the share, 0 to 1, of Rate and Burst that each region
+	// has. Without shares every region has the whole, which is right for an
+	// installation of one region only.
+	RegionShares map[RegionName]float64
 }
 
 // Upstream is a model engine or a plain service.
@@ -88,6 +92,16 @@
 	Slots int
 }
 
+// In returns the template with the rate and burst of one region.
+func (t Template) In(region RegionName) Template {
+	if len(t.RegionShares) == 0 {
+		return t
+	}
+	t.Rate *= t.RegionShares[region]
+	t.Burst *= t.RegionShares[region]
+	return t
+}
+
 // Allows tells whether the account may use a model.
 func (t Template) Allows(name ModelName) bool {
 	return len(t.Models) == 0 || slices.Contains(t.Models, name)
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -114,6 +114,16 @@
 	return ok && changed.Roster.Region != s.peers.Region()
 }
 
+// regional returns an event with the limits that the account has in this
+// region.
+func (s State) regional(e event.Event) event.Event {
+	if changed, ok := e.(event.TemplateChanged); ok {
+		changed.Template = changed.Template.In(s.peers.Region())
+		return changed
+	}
+	return e
+}
+
 // apply is Apply without the departure. Its third result is the number of
 // events folded: the one from outside and those that the parts raised.
 func (s State) apply(in Input) (State, []effect.Effect, int) {
@@ -125,6 +135,7 @@
 		if s.foreign(pending[folded]) {
 			continue
 		}
+		pending[folded] = s.regional(pending[folded])
 		var out Out
 		s, out = s.fold(in.With(pending[folded]))
 		if effects == nil {
--- a/core/node/node_test.go
+++ b/core/node/node_test.go
@@ -56,3 +56,55 @@
 		t.Errorf("roster written: %v, fresh: %v", written, s.Peers().Fresh(at))
 	}
 }
+
+// TestRegionShares guards against regions that each admit the whole rate and
+// burst of an account.
+func TestRegionShares(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		shares   map[model.RegionName]float64
+		admitted int
+	}{
+		{"no shares", nil, 4},
+		{"half in this region", map[model.RegionName]float64{"r": 0.5, "q": 0.5}, 2},
+		{"none in this region", map[model.RegionName]float64{"q": 1}, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := started(self)
+			changes := []model.Change{
+				{Kind: model.KindTemplate, Name: "a", Value: model.Template{Rate: 1, Burst: 4, RegionShares: test.shares}},
+				{Kind: model.KindKey, Name: "k", Value: model.Key{Account: "a", Hash: keyOf(1)}},
+				{Kind: model.KindModel, Name: "m", Value: model.Model{MaxTokens: 1}},
+				{Kind: model.KindUpstream, Name: "e", Value: model.Upstream{
+					Address: "127.0.0.1:1", Slots: 64, Models: []model.ModelName{"m"},
+				}},
+				{Kind: model.KindRoster, Name: "r", Value: model.Roster{Region: "r", Members: []model.Member{self}}},
+			}
+			for i := range changes {
+				changes[i].Version, changes[i].Generation = model.Version(i+1), 1
+			}
+			// The bucket starts empty and is full after four seconds.
+			for i := range 10 {
+				now := at.Add(time.Duration(i) * time.Second)
+				s, _ = s.Apply(Input{At: now, Draw: 1 << 40, Event: event.ConfigChanged{
+					Changes: changes, Upto: model.Version(len(changes)), SentAt: now, FromStore: true,
+				}})
+			}
+			now, admitted := at.Add(9*time.Second), 0
+			for ticket := range model.Ticket(8) {
+				var effects []effect.Effect
+				s, effects = s.Apply(Input{At: now, Event: event.RequestArrived{Ticket: ticket + 1, Request: model.Request{
+					HasKey: true, KeyHash: keyOf(1), Model: "m", AdmitBy: now,
+				}}})
+				for _, e := range effects {
+					if _, ok := e.(effect.Dispatch); ok {
+						admitted++
+					}
+				}
+			}
+			if admitted != test.admitted {
+				t.Errorf("admitted %d requests at once, want %d", admitted, test.admitted)
+			}
+		})
+	}
+}
--- a/io/codec/config.go
+++ b/io/codec/config.go
@@ -52,6 +52,8 @@
 	Rate       float64
 	Burst      float64
 	CheapShare float64
+
+	RegionShares map[model.RegionName]float64 `json:",omitempty"`
 }
 
 type wireUpstream struct {
