Keep work on cheap upstreams within the share of the template

Cause: CheapShare of a template had no effect: any request could go to an upstream that is reclaimed at short notice, also one that may not be repeated.

Change: flow lets a request go to a cheap upstream only if it can be started again and its account is within its share of the work of the last ten minutes (core/place Shares).

--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -15,6 +15,7 @@
 	"caroblane/core/event"
 	"caroblane/core/fair"
 	"caroblane/core/model"
+	"caroblane/core/place"
 	"caroblane/core/retry"
 	"caroblane/core/step"
 )
@@ -57,6 +58,8 @@
 	phase    phase
 	// mustClaim marks a request that may not be repeated.
 	mustClaim bool
+	// cheapShare is the share of the account's work allowed on cheap upstreams.
+	cheapShare float64
 	// services are the upstreams of the route of a plain request.
 	services []model.UpstreamName
 	attempt  int
@@ -100,6 +103,8 @@
 	serveAt time.Time
 	crashes crash.State
 	retries retry.Budget
+	// shares holds how much of each account's recent work went to cheap upstreams.
+	shares place.Shares[model.AccountName]
 }
 
 // New returns a state without requests.
@@ -112,6 +117,7 @@
 		queue:     fair.New[model.AccountName, model.Ticket](ageTerm),
 		deadlines: immutable.NewSortedMap[deadline, struct{}](deadlineOrder{}),
 		crashes:   crash.New(),
+		shares:    place.NewShares[model.AccountName](shareTerm),
 	}
 }
 
@@ -259,6 +265,7 @@
 	}
 	c.account = key.Account
 	c.priority = template.Priority
+	c.cheapShare = template.CheapShare
 	return 0, true
 }
 
@@ -330,6 +337,9 @@
 		u.alone, u.suspect = true, ticket
 	}
 	s.uses = s.uses.Set(upstream.Name, u)
+	if c.cheapShare > 0 {
+		s.shares = s.shares.WithWork(c.account, facts.At, cost(c.request), upstream.Cheap)
+	}
 	out.Emit(effect.Dispatch{
 		Ticket:     ticket,
 		Attempt:    c.attempt,
--- a/core/flow/flow_test.go
+++ b/core/flow/flow_test.go
@@ -28,6 +28,8 @@
 // record is what the world outside knows of one request.
 type record struct {
 	once    bool
+	// cheap tells that the account's template allowed cheap upstreams.
+	cheap   bool
 	claimed bool
 	// running is the attempt that has not ended, zero if there is none.
 	running  int
@@ -54,6 +56,7 @@
 	active  map[model.UpstreamName]bool
 	leaving model.UpstreamName
 	stale   bool
+	cheap   bool
 }
 
 func newHistory(t *rapid.T) *history {
@@ -75,7 +78,7 @@
 
 func (h *history) upstream(name model.UpstreamName, state model.UpstreamState) model.Upstream {
 	h.active[name] = state == model.UpstreamActive
-	return model.Upstream{Address: addresses[name] + ":1", Slots: 2, Models: []model.ModelName{"m"}, State: state}
+	return model.Upstream{Address: addresses[name] + ":1", Slots: 2, Models: []model.ModelName{"m"}, State: state, Cheap: name == "e2"}
 }
 
 // configure changes an object and passes on what conf raises.
@@ -137,6 +140,8 @@
 		switch {
 		case (!h.active[e.Upstream.Name] || h.leaving == e.Upstream.Name) && !r.resumes(e.Upstream.Name):
 			t.Fatalf("ticket %d went to %s, which is not active", e.Ticket, e.Upstream.Name)
+		case e.Upstream.Cheap && (r.once || !r.cheap):
+			t.Fatalf("ticket %d went to cheap %s", e.Ticket, e.Upstream.Name)
 		case h.stale && !r.resumes(e.Upstream.Name):
 			t.Fatalf("ticket %d was sent by a node that is not fresh", e.Ticket)
 		case r.running != 0:
@@ -197,7 +202,7 @@
 	if once {
 		request.Kind, request.Path, request.IdempotencyKey = model.RequestPlain, "/send", "i"
 	}
-	h.records[h.last] = &record{once: once}
+	h.records[h.last] = &record{once: once, cheap: h.cheap}
 	h.apply(t, event.RequestArrived{Ticket: h.last, Request: request})
 }
 
@@ -238,6 +243,14 @@
 				h.at = h.at.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond)
 				h.apply(t, event.Tick{})
 			},
+			"share": func(t *rapid.T) {
+				h.cheap = rapid.Bool().Draw(t, "cheap")
+				template := model.Template{Rate: 1, Burst: 1}
+				if h.cheap {
+					template.CheapShare = 0.5
+				}
+				h.configure(t, model.KindTemplate, "a", template)
+			},
 			"lapse": func(t *rapid.T) { h.stale = rapid.Bool().Draw(t, "stale") },
 			"reclaim": func(t *rapid.T) {
 				h.leaving = rapid.SampledFrom([]model.UpstreamName{"", "e0", "e2", "p"}).Draw(t, "leaving")
--- a/core/flow/place.go
+++ b/core/flow/place.go
@@ -19,6 +19,9 @@
 	Otherwise: place.Sampled[candidate]{Choices: 8},
 }
 
+// shareTerm is the time over which the share of cheap upstreams is measured.
+const shareTerm = 10 * time.Minute
+
 // use is what this node runs at an upstream.
 type use struct {
 	running int
@@ -44,6 +47,8 @@
 	at      time.Time
 	// suspect requests go only where no other request runs.
 	suspect bool
+	// cheap upstreams may take the request.
+	cheap bool
 }
 
 // engines lists the upstreams of a model.
@@ -62,7 +67,7 @@
 // place picks the upstream for the next attempt of a request.
 func (s State) place(c call, facts Facts) (model.Upstream, bool) {
 	suspect := s.crashes.Verdict(c.request.Fingerprint, facts.At) == crash.Alone
-	now := &facing{s.uses, s.leaving, c.tried, facts.At, suspect}
+	now := &facing{s.uses, s.leaving, c.tried, facts.At, suspect, s.mayUseCheap(c, facts.At)}
 	var list place.List[candidate] = engines{facts.Conf.UpstreamsOf(c.request.Model), now}
 	if c.request.Kind == model.RequestPlain {
 		list = services{c.services, facts.Conf, now}
@@ -97,7 +102,7 @@
 	if c.Name == "" || c.State != model.UpstreamActive || slices.Contains(c.tried, c.Name) {
 		return 0, false
 	}
-	if c.leaves() {
+	if c.Cheap && !c.cheap || c.leaves() {
 		return 0, false
 	}
 	u, _ := c.uses.Get(c.Name)
@@ -110,6 +115,13 @@
 	return float64(u.running) / float64(c.Slots), true
 }
 
+// mayUseCheap tells whether a request may go to an upstream that can be
+// reclaimed at short notice: one that can be started again, within the share of
+// its account.
+func (s State) mayUseCheap(c call, at time.Time) bool {
+	return !c.mustClaim && c.cheapShare > 0 && s.shares.Allows(c.account, at, cost(c.request), c.cheapShare)
+}
+
 // leaves tells whether the VM of the upstream will be stopped soon.
 func (c candidate) leaves() bool {
 	if c.leaving.Len() == 0 {
