Keep smaller entries for keys and faults in the conf part

Cause: each key was held with its 32-byte hash as key and again as value, and each object had room for the text of a fault that almost none has.

Change: the key index holds account and state; a fault is a pointer. Hashes of keys are now compared in constant time within the map instead of once more after the map had found an equal one.

--- a/core/conf/conf.go
+++ b/core/conf/conf.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"crypto/subtle"
 	"slices"
 	"strings"
 	"time"
@@ -34,12 +33,20 @@
 	contiguous bool
 	deleted    bool
 	value      any
-	fault      string
+	// fault tells why the last write is not in force. It is a pointer, nil if
+	// there is no fault, to keep the many entries small.
+	fault *string
 }
 
 // hidesGap tells that a write was missed before one that is not in force. The
 // other parts have not seen it, so the next valid write has to tell them.
-func (e entry) hidesGap() bool { return e.fault != "" && !e.contiguous }
+func (e entry) hidesGap() bool { return e.fault != nil && !e.contiguous }
+
+// owner is a model.Key without its hash, which is the key of the map.
+type owner struct {
+	account model.AccountName
+	state   model.KeyState
+}
 
 // Placeable is an upstream with the hash that placement needs.
 type Placeable struct {
@@ -59,7 +66,7 @@
 	// deletions.
 	order  *immutable.SortedMap[write, struct{}]
 	graves *immutable.SortedMap[write, struct{}]
-	keys   *immutable.Map[model.KeyHash, model.Key]
+	keys   *immutable.Map[model.KeyHash, owner]
 	// byModel lists the upstreams of a model in order of their names. The lists
 	// hold the upstreams themselves: placement reads hundreds of them for one
 	// request.
@@ -76,7 +83,7 @@
 		objects: immutable.NewMap[objectID, entry](idHasher{}),
 		order:   immutable.NewSortedMap[write, struct{}](writeComparer{}),
 		graves:  immutable.NewSortedMap[write, struct{}](writeComparer{}),
-		keys:    immutable.NewMap[model.KeyHash, model.Key](hashHasher{}),
+		keys:    immutable.NewMap[model.KeyHash, owner](hashHasher{}),
 		byModel: immutable.NewMap[model.ModelName, []Placeable](modelHasher{}),
 		models:  immutable.NewMap[model.ModelName, model.Model](modelHasher{}),
 	}
@@ -110,8 +117,8 @@
 	faults := map[string]string{}
 	for itr := s.objects.Iterator(); !itr.Done(); {
 		id, held, _ := itr.Next()
-		if held.fault != "" {
-			faults[id.kind.String()+"/"+id.name] = held.fault
+		if held.fault != nil {
+			faults[id.kind.String()+"/"+id.name] = *held.fault
 		}
 	}
 	return faults
@@ -119,11 +126,11 @@
 
 // Key returns the key with the given hash.
 func (s State) Key(hash model.KeyHash) (model.Key, bool) {
-	key, ok := s.keys.Get(hash)
-	if !ok || subtle.ConstantTimeCompare(key.Hash[:], hash[:]) != 1 {
+	held, ok := s.keys.Get(hash)
+	if !ok {
 		return model.Key{}, false
 	}
-	return key, true
+	return model.Key{Account: held.account, Hash: hash, State: held.state}, true
 }
 
 // Model returns the model of the given name.
@@ -205,14 +212,17 @@
 		value:      change.Value,
 	}
 	if !change.Deleted {
-		next.fault = change.Fault
-		if next.fault == "" {
+		fault := change.Fault
+		if fault == "" {
 			if err := Validate(change.Name, change.Value); err != nil {
-				next.fault = err.Error()
+				fault = err.Error()
 			}
 		}
+		if fault != "" {
+			next.fault = &fault
+		}
 	}
-	if next.fault != "" {
+	if next.fault != nil {
 		next.value = held.value
 		return s.withEntry(id, held, next)
 	}
@@ -228,7 +238,7 @@
 			s.keys = s.keys.Delete(key.Hash)
 		}
 		if key, ok := next.value.(model.Key); ok {
-			s.keys = s.keys.Set(key.Hash, key)
+			s.keys = s.keys.Set(key.Hash, owner{key.Account, key.State})
 		}
 		out.Raise(event.KeyChanged{Old: keyOf(old), New: keyOf(next.value)})
 	case model.KindTemplate:
--- a/core/conf/hash.go
+++ b/core/conf/hash.go
@@ -1,6 +1,7 @@
 package conf
 
 import (
+	"crypto/subtle"
 	"encoding/binary"
 
 	"github.com/cespare/xxhash/v2"
@@ -8,10 +9,11 @@
 	"caroblane/core/model"
 )
 
-// hashHasher takes the first bytes of a SHA-256, which are already uniform.
+// hashHasher takes the first bytes of a SHA-256, which are already uniform. It
+// compares in constant time, because the hashes stand for callers' keys.
 type hashHasher struct{}
 
-func (hashHasher) Equal(a, b model.KeyHash) bool { return a == b }
+func (hashHasher) Equal(a, b model.KeyHash) bool { return subtle.ConstantTimeCompare(a[:], b[:]) == 1 }
 
 func (hashHasher) Hash(key model.KeyHash) uint32 { return binary.LittleEndian.Uint32(key[:4]) }
 
--- a/core/conf/since.go
+++ b/core/conf/since.go
@@ -90,9 +90,10 @@
 		Version:    held.seen,
 		Generation: held.generation,
 		Deleted:    held.deleted,
-		Fault:      held.fault,
 	}
-	if !held.deleted && held.fault == "" {
+	if held.fault != nil {
+		change.Fault = *held.fault
+	} else if !held.deleted {
 		change.Value = held.value
 	}
 	return change
