Fingerprint chats by account, model and messages

Cause: the fingerprint was a hash of the whole body, so a caller that changed max_tokens or stream between repeats crashed engine after engine without end. Change: the fingerprint of a chat covers account, model and messages; the one of a plain call covers account and content. A caller that changes the messages is not recognised.

--- a/cmd/caroblaned/crash_test.go
+++ b/cmd/caroblaned/crash_test.go
@@ -6,9 +6,25 @@
 )
 
 // Guards against a request that crashes engine after engine when it is sent
-// again and again through all nodes (section 7).
+// again and again through all nodes, also with other parameters (section 7).
 func TestCrashingRequest(t *testing.T) {
 	t.Parallel()
+	for _, test := range []struct {
+		name string
+		body func(sent int) string
+	}{
+		{"same request", func(int) string { return chatBody(3, true, "boom") }},
+		{"other parameters", func(sent int) string { return chatBody(2+sent, sent%2 == 0, "boom") }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			crashEngines(t, test.body)
+		})
+	}
+}
+
+func crashEngines(t *testing.T, body func(sent int) string) {
+	t.Helper()
 	in := install(t, 3)
 	for _, engine := range in.engines {
 		in.fault(engine, `{"CrashMarker":"boom","CrashTerm":"300ms"}`)
@@ -18,7 +34,7 @@
 	in.within(configTerm, "all nodes refuse the request", func() bool {
 		for node := range in.nodes {
 			sent++
-			got := in.call(node, http.MethodPost, "/v1/chat/completions", chatBody(3, true, "boom"))
+			got := in.call(node, http.MethodPost, "/v1/chat/completions", body(sent))
 			stopped[node] = got.refusal() == refusal{"CrashSuspect", "NotRun"}
 			pause(t.Context(), trafficPause)
 		}
--- a/io/front/chat.go
+++ b/io/front/chat.go
@@ -5,7 +5,9 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"errors"
+	"maps"
 	"net/http"
+	"slices"
 
 	"github.com/ogen-go/ogen/ogenerrors"
 
@@ -46,7 +48,7 @@
 		PrefixHashes: prefixHashes(body),
 		AdmitBy:      s.now().Add(s.options.AdmitWithin),
 	}
-	request.Fingerprint = binary.LittleEndian.Uint64(request.BodyHash[:8])
+	request.Fingerprint = s.fingerprint(hash, chatContent(chat))
 	s.serve(ctx, w, request, relay.Attempt{
 		RequestID: request.ID,
 		Method:    http.MethodPost,
@@ -112,6 +114,20 @@
 	s.reject(w, requestID(ctx), model.MalformedRequest, err.Error())
 }
 
+// chatContent returns what an engine computes with: the model and the messages.
+// Parameters that a caller changes between repeats are left out.
+func chatContent(chat *oasapi.ChatRequest) []byte {
+	content := append([]byte(chat.Model), 0)
+	for _, message := range chat.Messages {
+		content = append(append(content, message.Role...), 0)
+		for _, name := range slices.Sorted(maps.Keys(message.AdditionalProps)) {
+			content = append(append(content, name...), 0)
+			content = append(append(content, message.AdditionalProps[name]...), 0)
+		}
+	}
+	return content
+}
+
 // refusalError carries a refusal through the generated code.
 type refusalError struct{ refusal model.Refusal }
 
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
 	"errors"
 	"io"
@@ -150,6 +151,17 @@
 	return sha256.Sum256([]byte(token)), true
 }
 
+// fingerprint identifies the content of a request of a client account. The
+// account is part of it, so that no account gets another one's requests refused.
+func (s *Server) fingerprint(hash model.KeyHash, content []byte) uint64 {
+	key, _ := s.control.Conf().Key(hash)
+	sum := sha256.New()
+	sum.Write([]byte(key.Account))
+	sum.Write([]byte{0})
+	sum.Write(content)
+	return binary.LittleEndian.Uint64(sum.Sum(nil))
+}
+
 // writeRefusal answers with the typed error body.
 func writeRefusal(w http.ResponseWriter, id model.RequestID, refusal model.Refusal) {
 	w.Header().Set("Content-Type", "application/json")
--- a/io/front/plain.go
+++ b/io/front/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"encoding/binary"
 	"net/http"
 
 	"caroblane/core/model"
@@ -31,7 +30,7 @@
 		BodyHash:       contentHash(r, body),
 		AdmitBy:        s.now().Add(s.options.AdmitWithin),
 	}
-	request.Fingerprint = binary.LittleEndian.Uint64(request.BodyHash[:8])
+	request.Fingerprint = s.fingerprint(hash, request.BodyHash[:])
 	s.serve(ctx, w, request, relay.Attempt{
 		RequestID: request.ID,
 		Method:    r.Method,
