--- a/core/flow/flow_test.go
+++ b/core/flow/flow_test.go
@@ -27,7 +27,7 @@
 
 // record is what the world outside knows of one request.
 type record struct {
-	once    bool
+	once bool
 	// cheap tells that the account's template allowed cheap upstreams.
 	cheap   bool
 	claimed bool
