Generate a broken answer again at another engine

Cause: a stream whose engine was lost after the first token ended with StreamTruncated, so a reclaimed or crashed engine cost each caller its answer.

Change: when the engine that holds the tokens is gone, flow sends the request to another one, which generates the answer from its start. The relay passes on what follows the part that the caller has, if the digest of the events of that part is the same, and ends the stream otherwise.

Figures: TestRegenerateAfterEngineLoss kills an engine during a stream of 400 tokens: whole answer, same text as an undisturbed one.

Engines that do not generate the same tokens again gain nothing from it.

--- a/cmd/caroblaned/process_test.go
+++ b/cmd/caroblaned/process_test.go
@@ -188,6 +188,39 @@
 	}
 }
 
+// Guards against an answer that is lost with its engine: another engine
+// generates it again, and the caller gets what it does not have yet.
+func TestRegenerateAfterEngineLoss(t *testing.T) {
+	t.Parallel()
+	in := install(t, 1)
+	const tokens = 400
+	ended := make(chan answer, 1)
+	go func() { ended <- in.chat(0, tokens) }()
+	in.eventually("the stream has tokens", func() bool {
+		return !strings.Contains(httpText(t, "http://"+in.nodes[0].admin+"/metrics"), "caroblane_first_token_seconds_count 0\n")
+	})
+	running := -1
+	in.eventually("an engine reports the stream", func() bool {
+		for i, engine := range in.engines {
+			if strings.Contains(httpText(t, "http://"+engine+"/load"), `"Running":1`) {
+				running = i
+			}
+		}
+		return running >= 0
+	})
+	in.standIns[running].kill()
+	lost := <-ended
+	if err := wholeStream(lost, tokens); err != nil {
+		t.Fatal(err)
+	}
+	if whole := in.chat(0, tokens); contents(whole.body) != contents(lost.body) {
+		t.Errorf("answers differ:\n%s\n%s", contents(whole.body), contents(lost.body))
+	}
+	if metrics := httpText(t, "http://"+in.nodes[0].admin+"/metrics"); !strings.Contains(metrics, `caroblane_retries_total{reason="RetryRegenerated"} 1`) {
+		t.Error("the answer was not generated again")
+	}
+}
+
 func contents(stream string) string {
 	var text strings.Builder
 	for _, part := range strings.Split(stream, `"content":"`)[1:] {
--- a/core/effect/traffic.go
+++ b/core/effect/traffic.go
@@ -29,6 +29,9 @@
 	Priority int
 	// MustRecord tells that the answer is kept for repeats of the request.
 	MustRecord bool
+	// Regenerate tells that the upstream generates a broken answer again. The
+	// caller gets what follows the part that it has, if that part is the same.
+	Regenerate bool
 }
 
 // Finish tells the traffic goroutine that its request has ended.
--- a/core/flow/attempt.go
+++ b/core/flow/attempt.go
@@ -50,6 +50,7 @@
 		Upstream:   upstream,
 		Priority:   c.priority,
 		MustRecord: c.mustClaim,
+		Regenerate: c.regenerate,
 	})
 	return s
 }
@@ -103,18 +104,25 @@
 	return s.failed(e.Ticket, c, refusal(model.UpstreamLost, model.OutcomeUnknown, 0), out)
 }
 
-// resume continues a stream of which the caller has a part. Only the engine
-// that generated it holds the tokens, so no other one is tried.
+// resume continues a stream of which the caller has a part. The engine that
+// generated it may still hold the tokens. If it does not, another engine
+// generates the answer again, and the caller gets the rest if the part that it
+// has is the same.
 func (s State) resume(e event.AttemptEnded, c call, facts Facts, out *Out) State {
-	upstream, ok := facts.Conf.Upstream(c.upstream)
-	mayResume := ok && !c.mustClaim && c.request.Stream && !e.Crashed && e.Outcome != model.Rejected && c.attempt < maxAttempts
-	if !mayResume {
+	if c.mustClaim || !c.request.Stream || c.attempt >= maxAttempts {
 		return s.failed(e.Ticket, c, refusal(model.StreamTruncated, model.OutcomeUnknown, 0), out)
 	}
+	var ok bool
 	if s.retries, ok = s.retries.WithRetry(facts.At); !ok {
 		return s.failed(e.Ticket, c, refusal(model.RetryBudgetSpent, model.OutcomeUnknown, 1), out)
 	}
 	c.resumed = e.TokensPassed
+	upstream, ok := facts.Conf.Upstream(c.upstream)
+	if !ok || e.Crashed || e.Outcome == model.Rejected || e.Outcome == model.NotSent || c.regenerate {
+		c.regenerate = true
+		out.Emit(effect.CountRetry{Reason: model.RetryRegenerated})
+		return s.dispatched(e.Ticket, c, facts, out)
+	}
 	out.Emit(effect.CountRetry{Reason: model.RetryResumed})
 	return s.sent(e.Ticket, c, upstream, facts, out)
 }
--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -68,6 +68,8 @@
 	mayHaveRun bool
 	// resumed is the number of tokens that the caller had at the last resume.
 	resumed int
+	// regenerate tells that the answer is generated again from its start.
+	regenerate bool
 	// crashCounted tells that the crash of the running attempt's upstream is
 	// counted already, with another request of the same batch.
 	crashCounted bool
--- a/core/model/enums.go
+++ b/core/model/enums.go
@@ -120,6 +120,7 @@
 	RetryRejected
 	RetryBroken
 	RetryResumed
+	RetryRegenerated
 )
 
 // Role is the kind of work that an engine takes.
@@ -178,5 +179,5 @@
 
 // RetryReasons returns every RetryReason.
 func RetryReasons() []RetryReason {
-	return []RetryReason{RetryNotSent, RetryRejected, RetryBroken, RetryResumed}
+	return []RetryReason{RetryNotSent, RetryRejected, RetryBroken, RetryResumed, RetryRegenerated}
 }
--- a/core/model/enums_string.go
+++ b/core/model/enums_string.go
@@ -163,11 +163,12 @@
 	_ = x[RetryRejected-1]
 	_ = x[RetryBroken-2]
 	_ = x[RetryResumed-3]
+	_ = x[RetryRegenerated-4]
 }
 
-const _RetryReason_name = "RetryNotSentRetryRejectedRetryBrokenRetryResumed"
+const _RetryReason_name = "RetryNotSentRetryRejectedRetryBrokenRetryResumedRetryRegenerated"
 
-var _RetryReason_index = [...]uint8{0, 12, 25, 36, 48}
+var _RetryReason_index = [...]uint8{0, 12, 25, 36, 48, 64}
 
 func (i RetryReason) String() string {
 	idx := int(i) - 0
--- a/io/front/session.go
+++ b/io/front/session.go
@@ -105,7 +105,8 @@
 	attempt.Upstream = dispatch.Upstream
 	attempt.Priority = dispatch.Priority
 	attempt.Once = dispatch.MustRecord
-	attempt.Resume = r.sink.tokens
+	attempt.Resume, attempt.Seen = r.sink.tokens, r.sink.seen
+	attempt.Regenerate = dispatch.Regenerate
 	r.number = dispatch.Attempt
 	r.once = dispatch.MustRecord
 	if r.once {
@@ -120,7 +121,7 @@
 }
 
 func (r *session) attemptEnded(result relay.Result) event.Event {
-	r.sink.tokens = result.TokensPassed
+	r.sink.tokens, r.sink.seen = result.TokensPassed, result.Seen
 	if r.cut != nil && result.Outcome != model.Completed {
 		result.Outcome = model.CallerLeft
 	}
--- a/io/front/sink.go
+++ b/io/front/sink.go
@@ -24,7 +24,9 @@
 	lastWrite time.Time
 	flushed   bool
 	begun     bool
-	tokens    int
+	// tokens and seen are the position up to which the caller has the answer.
+	tokens int
+	seen   uint64
 	// held keeps the answer back until the end of the request is recorded.
 	held *heldAnswer
 }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -45,6 +45,7 @@
 // The types of errors that a Sink sees.
 var (
 	crossed   = Errors.NewType("crossed_answer")
+	differs   = Errors.NewType("different_answer")
 	failed    = Errors.NewType("failed")
 	rejected  = Errors.NewType("rejected")
 	truncated = Errors.NewType("truncated_answer")
@@ -65,8 +66,13 @@
 	Stream bool
 	// Once forbids any resending, also by the HTTP library.
 	Once bool
-	// Resume is the number of tokens that the caller already has.
+	// Resume is the number of tokens that the caller already has, and Seen the
+	// digest of their events.
 	Resume int
+	Seen   uint64
+	// Regenerate asks for the whole answer again, of which the caller gets what
+	// follows the tokens that it has.
+	Regenerate bool
 }
 
 // Client sends attempts.
@@ -83,9 +89,11 @@
 type Result struct {
 	Outcome      model.Outcome
 	TokensPassed int
-	Crashed      bool
-	Answer       model.Answer
-	Err          error
+	// Seen is the digest of the events of the tokens passed.
+	Seen    uint64
+	Crashed bool
+	Answer  model.Answer
+	Err     error
 }
 
 // Sink takes the answer for the caller.
@@ -127,6 +135,9 @@
 // Run sends one attempt and passes its answer to the sink.
 func (c *Client) Run(ctx context.Context, a Attempt, sink Sink) Result {
 	result := c.run(ctx, a, sink)
+	if result.TokensPassed == a.Resume {
+		result.Seen = a.Seen
+	}
 	if result.Outcome == model.Broken {
 		result.Crashed = c.crashed(ctx, a, result.Err)
 	}
@@ -191,7 +202,7 @@
 	request.Header.Set(headerRequestID, string(a.RequestID))
 	request.Header.Set(headerAttempt, strconv.Itoa(a.Number))
 	request.Header.Set(headerPriority, strconv.Itoa(a.Priority))
-	if a.Resume > 0 {
+	if a.Resume > 0 && !a.Regenerate {
 		request.Header.Set(headerLastEvent, eventID{a.RequestID, a.Number - 1, a.Resume}.String())
 	}
 	return request, nil
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -150,7 +150,7 @@
 			attempt.Resume = test.resume
 			var sink recorder
 			got := client.Run(context.Background(), attempt, &sink)
-			got.Err = nil
+			got.Err, got.Seen = nil, 0
 			if diff := cmp.Diff(test.want, got); diff != "" {
 				t.Errorf("result differs (-want +got):\n%s", diff)
 			}
@@ -170,6 +170,57 @@
 	return joined.String()
 }
 
+// Guards against a caller whose stream goes on with another answer than the one
+// that it has a part of.
+func TestRegenerate(t *testing.T) {
+	tests := []struct {
+		name, first, second string
+		want                model.Outcome
+		passed              int
+		text                string
+	}{
+		{"same start", chunk(1, "a") + chunk(2, "b"), second(chunk(1, "a")+chunk(2, "b")+chunk(3, "c")) + second(end(3)), model.Completed, 3, "abc"},
+		{"only the end is missing", chunk(1, "a") + chunk(2, "b"), second(chunk(1, "a")+chunk(2, "b")) + second(end(2)), model.Completed, 2, "ab"},
+		{"other start", chunk(1, "a") + chunk(2, "b"), second(chunk(1, "a")+chunk(2, "x")+chunk(3, "c")) + second(end(3)), model.Broken, 2, "ab"},
+		{"same tokens in another order", chunk(1, "a") + chunk(2, "b"), second(chunk(1, "b")+chunk(2, "a")+chunk(3, "c")) + second(end(3)), model.Broken, 2, "ab"},
+		{"shorter answer", chunk(1, "a") + chunk(2, "b"), second(chunk(1, "a")) + second(end(1)), model.Broken, 2, "ab"},
+		{"breaks again before the position", chunk(1, "a") + chunk(2, "b"), second(chunk(1, "a")), model.Broken, 2, "ab"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
+				w.Header().Set(headerAttempt, r.Header.Get(headerAttempt))
+				if r.Header.Get(headerLastEvent) != "" {
+					t.Errorf("regenerated attempt asks to resume after %s", r.Header.Get(headerLastEvent))
+				}
+				body := test.first
+				if r.Header.Get(headerAttempt) == "2" {
+					body = test.second
+				}
+				_, _ = io.WriteString(w, body)
+			}))
+			defer server.Close()
+			client := New(Dialer())
+			defer client.Close()
+			var sink recorder
+			attempt := attemptAt(server.Listener.Addr().String(), model.UpstreamEngine)
+			first := client.Run(context.Background(), attempt, &sink)
+			attempt.Number, attempt.Resume, attempt.Seen, attempt.Regenerate = 2, first.TokensPassed, first.Seen, true
+			got := client.Run(context.Background(), attempt, &sink)
+			if got.Outcome != test.want || got.TokensPassed != test.passed {
+				t.Errorf("ended with %v after %d tokens: %v", got.Outcome, got.TokensPassed, got.Err)
+			}
+			if text := texts(sink.String()); text != test.text {
+				t.Errorf("caller got %q, want %q", text, test.text)
+			}
+		})
+	}
+}
+
+// second turns events of attempt 1 into those of attempt 2.
+func second(events string) string { return strings.ReplaceAll(events, "id: r1/1/", "id: r1/2/") }
+
 // Guards against NotRun for a request that may have run, and the reverse.
 func TestUnreachableIsNotSent(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -8,25 +8,31 @@
 	"errors"
 	"io"
 	"maps"
+	"math/bits"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"caroblane/core/model"
 )
 
 const (
 	maxEventLine = 1 << 20
+	// digestFactor makes the digest depend on the order of events.
+	digestFactor = 0x9e3779b97f4a7c15
 	// minKey is the length in bytes from which a key is looked for in all
 	// headers. Shorter text occurs in ordinary values.
 	minKey = 8
 )
 
 var (
-	dataField = []byte("data:")
-	doneData  = []byte("[DONE]")
-	idField   = []byte("id:")
+	choicesField = []byte(`"choices":`)
+	dataField    = []byte("data:")
+	doneData     = []byte("[DONE]")
+	idField      = []byte("id:")
 )
 
 // eventID is the position of an event in the answer to a request.
@@ -57,12 +63,67 @@
 	data []byte
 }
 
+// position is how much of an answer was seen and passed on.
+type position struct {
+	// tokens and digest cover the events seen in this attempt and, if it resumes
+	// an earlier one, before it.
+	tokens int
+	digest uint64
+	// skip is the number of tokens that the caller has already and that this
+	// attempt generates again, and want their digest.
+	skip int
+	want uint64
+}
+
+// start returns the position before the first event of an attempt.
+func (a Attempt) start() position {
+	if a.Regenerate {
+		return position{skip: a.Resume, want: a.Seen}
+	}
+	return position{tokens: a.Resume, digest: a.Seen}
+}
+
+// with returns the position after an event, and whether the caller gets it.
+func (p position) with(offset int, data []byte) (_ position, pass bool, _ error) {
+	switch {
+	case offset == p.tokens:
+		// An event without a token, for example the role or the counts.
+		return p, p.tokens >= p.skip, nil
+	case offset != p.tokens+1:
+		return p, false, truncated.New("event at token %d follows token %d", offset, p.tokens)
+	}
+	p.tokens++
+	p.digest = digestOf(p.digest, data)
+	if p.tokens == p.skip && p.digest != p.want {
+		return p, false, differs.New("the first %d tokens generated again differ from those that the caller has", p.skip)
+	}
+	return p, p.tokens > p.skip, nil
+}
+
+// result returns the end of an attempt at this position.
+func (p position) result(a Attempt, r Result) Result {
+	r.TokensPassed, r.Seen = p.tokens, p.digest
+	if p.tokens < p.skip || r.Outcome == model.Broken && p.tokens == p.skip {
+		r.TokensPassed, r.Seen = a.Resume, a.Seen
+	}
+	return r
+}
+
+// digestOf adds an event to a digest. The fields before the choices differ
+// between engines, for example the time of creation.
+func digestOf(digest uint64, data []byte) uint64 {
+	if at := bytes.Index(data, choicesField); at >= 0 {
+		data = data[at:]
+	}
+	return bits.RotateLeft64(digest, 7)*digestFactor ^ xxhash.Sum64(data)
+}
+
 // stream passes on server-sent events that belong to the request, in order and
 // without a gap, and checks the total at the end.
 func (a Attempt) stream(ctx context.Context, response *http.Response, sink Sink) Result {
 	events := reader{body: bufio.NewReaderSize(response.Body, copyBuffer)}
 	prefix := eventPrefix(a.RequestID, a.Number)
-	passed := a.Resume
+	at := a.start()
 	if a.Resume == 0 {
 		if err := sink.Begin(response.StatusCode, response.Header); err != nil {
 			return Result{Outcome: model.CallerLeft, Err: err}
@@ -72,32 +133,32 @@
 	for {
 		e, err := events.next()
 		if err != nil {
-			return a.broken(ctx, passed, err)
+			return at.result(a, a.broken(ctx, 0, err))
 		}
 		offset, own := ownOffset(e.id, prefix)
 		if !own {
 			continue
 		}
-		done := bytes.Equal(e.data, doneData)
+		done, pass := bytes.Equal(e.data, doneData), true
 		if !done {
-			if offset != passed && offset != passed+1 {
-				return a.broken(ctx, passed, truncated.New("event at token %d follows token %d", offset, passed))
+			if at, pass, err = at.with(offset, e.data); err != nil {
+				return at.result(a, a.broken(ctx, 0, err))
 			}
 			last = append(last[:0], e.data...)
-		} else if total, ok := totalTokens(last); !ok || total != passed {
-			return a.broken(ctx, passed, truncated.New("answer ended after %d tokens of %d", passed, total))
+		} else if total, ok := totalTokens(last); !ok || total != at.tokens || total < at.skip {
+			return at.result(a, a.broken(ctx, 0, truncated.New("answer ended after %d tokens of %d", at.tokens, total)))
 		}
-		if err := writeEvent(sink, e.data); err != nil {
-			return Result{Outcome: model.CallerLeft, TokensPassed: passed, Err: err}
+		if pass {
+			err = writeEvent(sink, e.data)
 		}
-		passed = max(passed, offset)
-		if done || events.body.Buffered() == 0 {
-			if err := sink.Flush(); err != nil {
-				return Result{Outcome: model.CallerLeft, TokensPassed: passed, Err: err}
-			}
+		if err == nil && (done || events.body.Buffered() == 0) {
+			err = sink.Flush()
+		}
+		if err != nil {
+			return at.result(a, Result{Outcome: model.CallerLeft, Err: err})
 		}
 		if done {
-			return Result{Outcome: model.Completed, TokensPassed: passed}
+			return at.result(a, Result{Outcome: model.Completed})
 		}
 	}
 }
