Move the emulated slice of engines to fake/slice with a command

Cause: the measurement of placement and role policies was test code of core/policy. Operators and developers could not run it with other seeds, rows or loads.

Change: fake/slice holds the engines, the load, the event stepping, the figures, the rows and the table. A policy is an immutable value (Policy[P]) that Run is generic over; the state of placement and roles was in closures before.

Engines and requests are still changed in place within a run.

--- a/cmd/caroblane-fake/main.go
+++ b/cmd/caroblane-fake/main.go
@@ -1,4 +1,5 @@
-// Command caroblane-fake runs the stand-ins for outside systems.
+// Command caroblane-fake runs the stand-ins for outside systems and a
+// measurement of policies on emulated engines.
 package main
 
 import (
--- a/core/policy/preset.go
+++ b/core/policy/preset.go
@@ -1,5 +1,4 @@
-// Package policy holds the presets of the placement and role policies and the
-// measurement that compares them with baselines.
+// Package policy holds the presets of the placement and role policies.
 package policy
 
 import (
--- /dev/null
+++ b/fake/slice/preset.go
@@ -0,0 +1,83 @@
+package slice
+
+import (
+	"time"
+
+	"caroblane/core/model"
+	"caroblane/core/place"
+	"caroblane/core/policy"
+	"caroblane/core/roles"
+)
+
+// planned is how the presets begin.
+func planned(i int) model.Role {
+	switch i {
+	case 0:
+		return model.RolePrefill
+	case 1, 4:
+		return model.RoleBoth
+	}
+	return model.RoleDecode
+}
+
+// preset is a policy with the parameters of a policy.Preset.
+type preset struct {
+	config policy.Preset
+	pairs  place.Pairs[Engine]
+	target roles.Target
+	shares place.Shares[int]
+}
+
+func newPreset(c Config, p policy.Preset) preset {
+	return preset{
+		config: p,
+		pairs: policy.Pairs[Engine](p, policy.Costs{
+			PromptToken: c.Engine.PromptToken, Mixing: 2, MixBelow: 20 / float64(c.Engine.Slots),
+			TransferBase: c.Engine.TransferBase, TransferToken: c.Engine.TransferToken,
+		}),
+		target: roles.New(p.Roles, clock(0)),
+		shares: place.NewShares[int](time.Minute),
+	}
+}
+
+func (p preset) Rules() Rules {
+	return Rules{Role: planned, Fair: true, LateLast: p.config.LateLast}
+}
+
+func (p preset) Pick(f *Fleet, r Request, draw uint64) (preset, place.Plan, bool) {
+	c := f.Config()
+	cheap := r.Restartable && p.shares.Allows(r.Account, f.Now(), r.Work(), c.Load.CheapShare[r.Account])
+	last := r.Waits && f.Now().After(r.Queued.Add(c.AdmitTerm-p.config.Last))
+	list := f.Engines(model.RoleBoth)
+	plan, ok := p.pairs.Pick(list, place.Job{
+		Key: r.Key, Prompt: r.Prompt, Shared: r.Shared, Cheap: cheap, Last: last,
+	}, draw)
+	if ok && draw != 0 {
+		used := list.At(plan.Prefill).Cheap() || list.At(plan.Decode).Cheap()
+		p.shares = p.shares.WithWork(r.Account, f.Now(), r.Work(), used)
+	}
+	return p, plan, ok
+}
+
+func (p preset) WithArrival(at time.Time, r Request) preset {
+	p.target = p.target.WithWork(at, float64(r.Prompt), float64(r.Output))
+	return p
+}
+
+func (p preset) Adjust(f *Fleet) (preset, []RoleChange) {
+	var list []roles.Engine[int]
+	engines := f.Engines(model.RoleBoth)
+	for i := range engines.Len() {
+		e := engines.At(i)
+		load, _ := e.Load()
+		list = append(list, roles.Engine[int]{
+			ID: i, Zone: e.Zone(), Role: e.Role(), Load: load, Usable: !e.Down(), Changing: e.Changing(),
+		})
+	}
+	var changes []RoleChange
+	for _, c := range roles.Propose(p.target, f.Now(), list) {
+		changes = append(changes, RoleChange{Engine: c.ID, To: c.To})
+		p.target = p.target.WithChange(c.Zone, f.Now())
+	}
+	return p, changes
+}
