Make the emulated slice an immutable reducer

A request of one token whose prompt is on another engine kept the slot there for ever; the usual load has none.

Change: state.apply is the reducer over all events; its effects are scheduled events and ended requests, which a loop carries out. Engines and requests are values with With methods. The loop counts how often each request ended, so Unended now also finds a request that ended twice. Both slots of a request of one token become free. A request that a policy refuses by the draw goes back to the queue instead of being lost.

--- a/fake/slice/dispatch.go
+++ b/fake/slice/dispatch.go
@@ -13,52 +13,77 @@
 // fairAge is the waiting time that raises a priority by one.
 const fairAge = 500 * time.Millisecond
 
-func (s *slice[P]) enqueue(j *job) {
-	j.Queued, j.Waits = s.Now(), true
+// arrived places a request, or lets it wait. One arrival is scheduled at a
+// time, to keep the heap small.
+func (s state[P]) arrived(n int) state[P] {
+	j := s.jobs[n]
+	if n+1 < len(s.jobs) {
+		s = s.after(s.jobs[n+1].at-s.now, event{kind: arrive, n: n + 1})
+	}
+	s.policy = s.policy.WithArrival(s.Now(), j.Request)
+	placed := false
+	if s.queue.Len() == 0 {
+		s, placed = s.place(j)
+	}
+	if !placed {
+		s = s.enqueue(j)
+	}
+	return s
+}
+
+func (s state[P]) enqueue(j job) state[P] {
+	j.Queued, j.Waits = s.now, true
 	owner, cost := 0, j.Work()+1
 	if s.rules.Fair {
 		// Accounts get service in proportion to their rates.
 		owner = j.Account
 		cost /= s.config.Load.Weights[j.Account]
 	}
-	s.queue = s.queue.WithItem(owner, fair.Item[*job]{
-		Value: j, Cost: cost, Since: clock(s.now),
-	})
+	s.queue = s.queue.WithItem(owner, fair.Item[job]{Value: j, Cost: cost, Since: s.Now()})
+	return s
 }
 
+func (s state[P]) overdue(j job) bool { return s.now > j.Queued+s.config.AdmitTerm }
+
 // serve places waiting requests and refuses those that waited too long.
-func (s *slice[P]) serve() {
+func (s state[P]) serve() state[P] {
 	if s.rules.LateLast {
-		s.demote()
+		s = s.demote()
 	}
 	for s.queue.Len() > 0 {
-		owner, item, ok := s.queue.Next(clock(s.now), func(j *job) bool {
-			if s.Now().After(j.Queued.Add(s.config.AdmitTerm)) {
+		owner, item, ok := s.queue.Next(s.Now(), func(j job) bool {
+			if s.overdue(j) {
 				return true
 			}
 			_, _, ok := s.policy.Pick(s.Fleet, j.Request, 0)
 			return ok
 		})
 		if !ok {
-			return
+			return s
 		}
 		j := item.Value
-		if s.Now().After(j.Queued.Add(s.config.AdmitTerm)) {
+		if s.overdue(j) {
 			s.queue = s.queue.Without(owner, j)
-			j.finished = true
 			if j.inRate {
 				s.refused++
 			}
+			s = s.withEffect(ended{j})
 			continue
 		}
 		s.queue = s.queue.WithoutNext(owner)
-		s.place(j)
+		var placed bool
+		if s, placed = s.place(j); !placed {
+			// A policy may refuse by the draw. The request keeps its due time.
+			s.queue = s.queue.WithItem(owner, item)
+			return s
+		}
 	}
+	return s
 }
 
 // demote moves requests that missed the target for the first token to lanes of
 // a lower priority, so that they delay none that can still keep it.
-func (s *slice[P]) demote() {
+func (s state[P]) demote() state[P] {
 	for a := range s.config.Load.Weights {
 		for {
 			item, ok := s.queue.First(a)
@@ -70,26 +95,28 @@
 			s.queue = s.queue.WithItem(len(s.config.Load.Weights)+a, item)
 		}
 	}
+	return s
 }
 
-func (s *slice[P]) place(j *job) bool {
-	next, plan, ok := s.policy.Pick(s.Fleet, j.Request, s.rng.Uint64())
+// place sends a request to the engines that the policy picks, if there are any.
+func (s state[P]) place(j job) (state[P], bool) {
+	draw := s.draws.Uint64()
+	next, plan, ok := s.policy.Pick(s.Fleet, j.Request, draw)
 	s.policy = next
 	if !ok {
-		return false
+		return s, false
 	}
-	j.prefill, j.decode = s.machines[plan.Prefill], s.machines[plan.Decode]
-	j.cheap = j.prefill.cheap || j.decode.cheap
-	j.prefill.used++
+	j.prefill, j.decode = plan.Prefill, plan.Decode
+	j.cheap = s.engines[j.prefill].cheap || s.engines[j.decode].cheap
 	if j.decode != j.prefill {
-		j.decode.used++
+		s = s.withEngine(s.engines[j.decode].withUsed(1))
 	}
+	e := s.engines[j.prefill].withUsed(1)
 	j.todo = j.Prompt
-	if i := slices.Index(j.prefill.cache, j.Key); i >= 0 {
+	if slices.Contains(e.cache, j.Key) {
 		j.todo = max(1, j.Prompt-j.Shared)
 	}
-	s.backlogs = s.backlogs.WithSend(j.prefill.id, clock(s.now), float64(j.Prompt)*float64(s.config.Engine.PromptToken))
-	j.prefill.prompts = append(j.prefill.prompts, j)
-	s.start(j.prefill)
-	return true
+	load := float64(j.Prompt) * float64(s.config.Engine.PromptToken)
+	s = s.withBacklogs(s.backlogs.WithSend(e.id, s.Now(), load))
+	return s.withEngine(e.withPrompt(j)).start(e.id), true
 }
--- a/fake/slice/engine.go
+++ b/fake/slice/engine.go
@@ -10,109 +10,117 @@
 // job is a request and its progress.
 type job struct {
 	Request
-	at             time.Duration
-	last           time.Duration
-	inRate         bool
-	todo           int // tokens of the prompt still to compute
-	got, late      int
-	first          time.Duration
-	prefill        *machine
-	decode         *machine
-	cheap          bool
-	run            int // counts restarts, so that old events have no effect
-	done, finished bool
+	id     int
+	at     time.Duration
+	inRate bool
+	// todo is the tokens of the prompt still to compute.
+	todo            int
+	got, late       int
+	first, last     time.Duration
+	prefill, decode int
+	cheap           bool
+	// run counts restarts, so that events of an earlier run have no effect.
+	run  int
+	done bool
 }
 
-// machine is a fake engine.
-type machine struct {
-	id      int
-	zone    model.ZoneName
-	cheap   bool
-	role    model.Role
-	down    bool
-	to      model.Role
-	closing bool // drains or changes its role
-	away    bool // changes its role
-	running bool
-	prompts []*job
-	batch   []*job
-	joining []*job
-	used    int // requests that hold a slot, known to the dispatcher
-	cache   []uint64
-	busy    time.Duration
-	epoch   int
+// withToken returns the job after a token.
+func (j job) withToken(at time.Duration) job {
+	j.got++
+	j.last = at
+	j.done = j.got >= j.Output
+	return j
+}
+
+// engine is an emulated engine. Its slices are never changed in place.
+type engine struct {
+	id    int
+	zone  model.ZoneName
+	cheap bool
+	role  model.Role
+	down  bool
+	to    model.Role
+	// closing engines drain or change their role; away ones change it.
+	closing, away bool
+	running       bool
+	prompts       []job
+	batch         []job
+	joining       []job
+	// used is the requests that hold a slot, known to the dispatcher.
+	used  int
+	cache []uint64
+	busy  time.Duration
+	epoch int
+}
+
+func (e engine) withUsed(change int) engine {
+	e.used += change
+	return e
+}
+
+func (e engine) withPrompt(j job) engine {
+	e.prompts = append(slices.Clip(e.prompts), j)
+	return e
+}
+
+func (e engine) withJoining(j job) engine {
+	e.joining = append(slices.Clip(e.joining), j)
+	return e
+}
+
+// withCached puts a prefix at the end of the cache, which keeps the last ones.
+func (e engine) withCached(key uint64, limit int) engine {
+	cache := make([]uint64, 0, len(e.cache)+1)
+	for _, k := range e.cache {
+		if k != key {
+			cache = append(cache, k)
+		}
+	}
+	cache = append(cache, key)
+	e.cache = cache[max(0, len(cache)-limit):]
+	return e
+}
+
+func (e engine) without(id int) engine {
+	e.prompts, e.batch, e.joining = without(e.prompts, id), without(e.batch, id), without(e.joining, id)
+	return e
 }
 
-// start begins an iteration of an engine that has work.
-func (s *slice[P]) start(m *machine) {
-	if m.running || m.down {
-		return
+// without returns the jobs except the one with the given number.
+func without(jobs []job, id int) []job {
+	i := slices.IndexFunc(jobs, func(j job) bool { return j.id == id })
+	if i < 0 {
+		return jobs
 	}
-	m.batch = append(m.batch, m.joining...)
-	m.joining = m.joining[:0]
-	if len(m.batch) == 0 && len(m.prompts) == 0 {
-		s.drained(m)
-		return
+	return slices.Concat(jobs[:i], jobs[i+1:])
+}
+
+// withBatch moves the joining requests to the batch.
+func (e engine) withBatch() engine {
+	if len(e.joining) > 0 {
+		e.batch, e.joining = slices.Concat(e.batch, e.joining), nil
 	}
-	room, took := s.config.Engine.PromptPiece, s.config.Engine.PromptBase
-	if len(m.batch) > 0 {
-		room, took = s.config.Engine.MixedPiece, s.config.Engine.StepBase+time.Duration(len(m.batch))*s.config.Engine.StepRequest
+	return e
+}
+
+// withIteration returns the engine in its next iteration, and how long that
+// takes.
+func (e engine) withIteration(c EngineConfig) (engine, time.Duration) {
+	room, took := c.PromptPiece, c.PromptBase
+	if len(e.batch) > 0 {
+		room, took = c.MixedPiece, c.StepBase+time.Duration(len(e.batch))*c.StepRequest
 	}
-	for _, j := range m.prompts {
-		n := min(room, j.todo)
-		j.todo -= n
+	e.prompts = slices.Clone(e.prompts)
+	for i := range e.prompts {
+		n := min(room, e.prompts[i].todo)
+		e.prompts[i].todo -= n
 		room -= n
-		took += time.Duration(n) * s.config.Engine.PromptToken
+		took += time.Duration(n) * c.PromptToken
 		if room == 0 {
 			break
 		}
 	}
-	m.running = true
-	m.busy += took
-	s.after(took, event{kind: iterate, m: m, n: m.epoch})
-}
-
-// iterated ends an iteration: a token for each request of the batch, and the
-// first token for each prompt that is complete.
-func (s *slice[P]) iterated(m *machine) {
-	m.running = false
-	m.batch = slices.DeleteFunc(m.batch, func(j *job) bool {
-		if s.now-j.last > s.config.NextTarget {
-			j.late++
-		}
-		return s.token(j)
-	})
-	m.prompts = slices.DeleteFunc(m.prompts, func(j *job) bool {
-		if j.todo > 0 {
-			return false
-		}
-		j.first = s.now - j.at
-		m.cache = slices.DeleteFunc(m.cache, func(key uint64) bool { return key == j.Key })
-		m.cache = append(m.cache, j.Key)
-		if len(m.cache) > s.config.Engine.CachePrefixes {
-			m.cache = m.cache[1:]
-		}
-		if s.token(j) {
-			return true
-		}
-		if j.decode == m {
-			m.joining = append(m.joining, j)
-			return true
-		}
-		m.used--
-		s.after(s.config.Engine.TransferBase+time.Duration(j.Prompt)*s.config.Engine.TransferToken, event{kind: join, m: j.decode, j: j, n: j.run})
-		return true
-	})
-	s.start(m)
-}
-
-func (s *slice[P]) token(j *job) bool {
-	j.got++
-	j.last = s.now
-	if j.got < j.Output {
-		return false
-	}
-	j.done, j.finished = true, true
-	j.decode.used--
-	return true
+	e.running = true
+	e.busy += took
+	return e, took
 }
--- a/fake/slice/event.go
+++ b/fake/slice/event.go
@@ -16,16 +16,19 @@
 	fault
 )
 
+// event is what happens at a time. The meaning of n depends on the kind: the
+// number of a request or fault, the epoch of an engine, or reported tokens.
 type event struct {
 	at      time.Duration
 	seq     int
 	kind    kind
-	m       *machine
-	j       *job
+	engine  int
 	n       int
+	run     int
 	measure time.Duration
 }
 
+// events is a heap by time, and by order of scheduling at the same time.
 type events []event
 
 func (e events) Len() int { return len(e) }
@@ -39,3 +42,18 @@
 	*e = (*e)[:len(*e)-1]
 	return last
 }
+
+// effect is what the loop carries out for the reducer: scheduled or ended.
+type effect interface{ isEffect() }
+
+// scheduled is an event after a time.
+type scheduled struct {
+	after time.Duration
+	event event
+}
+
+// ended is a request that was answered, refused or cut.
+type ended struct{ job job }
+
+func (scheduled) isEffect() {}
+func (ended) isEffect()     {}
--- a/fake/slice/fault.go
+++ b/fake/slice/fault.go
@@ -1,70 +1,83 @@
 package slice
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // fault stops engines or starts them again.
-func (s *slice[P]) fault(f Fault) {
+func (s state[P]) fault(f Fault) state[P] {
 	for _, id := range f.Engines {
 		if f.Up {
-			s.machines[id].down = false
+			e := *s.engines[id]
+			e.down = false
+			s = s.withEngine(e)
 		} else {
-			s.kill(s.machines[id])
+			s = s.kill(id)
 		}
 	}
+	return s
 }
 
 // kill stops an engine. Work that can be started again waits for another one.
-func (s *slice[P]) kill(m *machine) {
-	m.down, m.running, m.closing, m.away = true, false, false, false
-	m.epoch++
-	m.cache = nil
-	for _, j := range s.jobs {
-		if j.finished || j.decode != m && (j.prefill != m || j.got > 0) {
-			continue
-		}
+func (s state[P]) kill(id int) state[P] {
+	e := *s.engines[id]
+	e.down, e.running, e.closing, e.away = true, false, false, false
+	e.epoch++
+	e.cache = nil
+	lost := s.heldBy(id)
+	s = s.withEngine(e)
+	for _, j := range lost {
 		s.cuts++
-		j.run++
-		for _, held := range []*machine{j.prefill, j.decode} {
-			if held == j.decode || j.got == 0 {
-				held.used--
-			}
-			if j.prefill == j.decode {
-				break
-			}
+		if j.got == 0 && j.prefill != j.decode {
+			s = s.withEngine(s.engines[j.prefill].withUsed(-1))
 		}
-		drop := func(x *job) bool { return x == j }
-		for _, held := range []*machine{j.prefill, j.decode} {
-			held.prompts = slices.DeleteFunc(held.prompts, drop)
-			held.batch = slices.DeleteFunc(held.batch, drop)
-			held.joining = slices.DeleteFunc(held.joining, drop)
-			s.drained(held)
+		s = s.withEngine(s.engines[j.decode].withUsed(-1))
+		s.transit = without(s.transit, j.id)
+		for _, held := range []int{j.prefill, j.decode} {
+			s = s.withEngine(s.engines[held].without(j.id)).drained(held)
 		}
-		j.prefill, j.decode, j.got, j.late = nil, nil, 0, 0
+		j.run++
+		j.got, j.late = 0, 0
 		if j.Restartable {
-			s.enqueue(j)
+			s = s.enqueue(j)
 		} else {
-			j.finished = true
+			s = s.withEffect(ended{j})
 		}
 	}
+	return s
+}
+
+// heldBy returns the requests that need an engine, in order of arrival.
+func (s state[P]) heldBy(id int) []job {
+	held := slices.Concat(s.engines[id].prompts, s.engines[id].batch, s.engines[id].joining)
+	others := s.transit
+	for _, e := range s.engines {
+		if e.id != id {
+			others = slices.Concat(others, e.prompts)
+		}
+	}
+	for _, j := range others {
+		if j.decode == id {
+			held = append(held, j)
+		}
+	}
+	slices.SortFunc(held, func(a, b job) int { return cmp.Compare(a.id, b.id) })
+	return held
 }
 
 // adjust begins role changes. An engine takes no new work, ends what it has,
 // and is away for EngineConfig.ChangeTerm.
-func (s *slice[P]) adjust(changes []RoleChange) {
-	for _, m := range s.machines {
-		i := slices.IndexFunc(changes, func(c RoleChange) bool { return c.Engine == m.id })
-		if i < 0 || m.down || m.closing {
+func (s state[P]) adjust(changes []RoleChange) state[P] {
+	for id := range s.engines {
+		e := *s.engines[id]
+		i := slices.IndexFunc(changes, func(c RoleChange) bool { return c.Engine == id })
+		if i < 0 || e.down || e.closing {
 			continue
 		}
-		m.to, m.closing = changes[i].To, true
+		e.to, e.closing = changes[i].To, true
 		s.changes++
-		s.drained(m)
-	}
-}
-
-func (s *slice[P]) drained(m *machine) {
-	if m.closing && !m.away && m.used == 0 {
-		m.cache, m.away = nil, true
-		s.after(s.config.Engine.ChangeTerm, event{kind: changed, m: m, n: m.epoch})
+		s = s.withEngine(e).drained(id)
 	}
+	return s
 }
--- a/fake/slice/figures.go
+++ b/fake/slice/figures.go
@@ -21,23 +21,24 @@
 	Refused, Cut float64
 	// StrictGood and StrictSwingGood have no allowance for the prompt.
 	StrictGood, StrictSwingGood float64
-	// Unended counts requests that did not end, and HeldSlots the slots in use
+	// Unended counts requests that did not end exactly once, and HeldSlots the slots in use
 	// at the end. Both are 0 if every request ended exactly once.
 	Unended, HeldSlots int
 }
 
-func (s *slice[P]) good(j *job) bool {
-	allowance := time.Duration(j.Prompt) * s.config.Engine.PromptToken
-	return j.done && j.first <= s.config.FirstTarget+allowance && 20*j.late <= j.Output-1
+func (c Config) good(j job) bool {
+	allowance := time.Duration(j.Prompt) * c.Engine.PromptToken
+	return j.done && j.first <= c.FirstTarget+allowance && 20*j.late <= j.Output-1
 }
 
-func (s *slice[P]) figures() Figures {
+func (l *loop[P]) figures() Figures {
+	s := l.state
 	load := s.config.Load
 	var f Figures
 	var strict, strictSwing, good, swing, evening, busy, tokens, work, cheap float64
 	inRate, served := make([]float64, len(load.Weights)), make([]float64, len(load.Weights))
-	for _, j := range s.jobs {
-		if !j.finished {
+	for id, j := range l.results {
+		if l.ends[id] != 1 {
 			f.Unended++
 		}
 		if j.inRate {
@@ -50,7 +51,7 @@
 				cheap += j.Work()
 			}
 		}
-		if !s.good(j) {
+		if !s.config.good(j) {
 			continue
 		}
 		good++
@@ -68,7 +69,7 @@
 			swing++
 		}
 	}
-	for _, m := range s.machines {
+	for _, m := range s.engines {
 		price := 1.0
 		if m.cheap {
 			price = s.config.Engine.CheapPrice
--- a/fake/slice/fleet.go
+++ b/fake/slice/fleet.go
@@ -7,11 +7,11 @@
 	"caroblane/core/place"
 )
 
-// Fleet is the engines and the clock as a policy sees them.
+// Fleet is the engines and the clock as a policy sees them. It does not change.
 type Fleet struct {
-	config   Config
+	config   *Config
 	now      time.Duration
-	machines []*machine
+	engines  []*engine
 	backlogs place.Tracker[int]
 }
 
@@ -20,8 +20,11 @@
 // Now returns the time of the run, which begins at the Unix epoch.
 func (f *Fleet) Now() time.Time { return clock(f.now) }
 
+// Elapsed returns the time since the begin of the run.
+func (f *Fleet) Elapsed() time.Duration { return f.now }
+
 // Config returns the configuration of the run.
-func (f *Fleet) Config() Config { return f.config }
+func (f *Fleet) Config() Config { return *f.config }
 
 // Engines returns the engines for the work of a role, or for any work with
 // model.RoleBoth. Engines of the other role are listed, but take no work.
@@ -34,14 +37,14 @@
 }
 
 // Len returns the number of engines.
-func (l Engines) Len() int { return len(l.fleet.machines) }
+func (l Engines) Len() int { return len(l.fleet.engines) }
 
 // At returns the engine with number i.
-func (l Engines) At(i int) Engine { return Engine{l.fleet.machines[i], l.fleet, l.only} }
+func (l Engines) At(i int) Engine { return Engine{l.fleet.engines[i], l.fleet, l.only} }
 
 // Engine is an engine as placement and role policies see it.
 type Engine struct {
-	machine *machine
+	machine *engine
 	fleet   *Fleet
 	only    model.Role
 }
--- a/fake/slice/load.go
+++ b/fake/slice/load.go
@@ -15,8 +15,8 @@
 }
 
 // draw returns the requests, which depend on the load and the seed only.
-func (l Load) draw(seed uint64) []*job {
-	var jobs []*job
+func (l Load) draw(seed uint64) []job {
+	var jobs []job
 	rng := rand.New(rand.NewPCG(seed, 1))
 	for at := time.Duration(0); at < l.End; {
 		p := l.phase(at)
@@ -25,7 +25,7 @@
 			extra = l.NoisyExtra * l.Weights[l.Noisy]
 		}
 		at += time.Duration(rng.ExpFloat64() / (p.Rate * (1 + extra)) * float64(time.Second))
-		j := &job{at: at, inRate: true}
+		j := job{id: len(jobs), at: at, inRate: true}
 		j.Restartable = rng.Float64() < 0.7
 		draw := rng.Float64() * (1 + extra)
 		j.Account = l.Noisy
--- a/fake/slice/policy.go
+++ b/fake/slice/policy.go
@@ -31,9 +31,11 @@
 	Prompt, Shared, Output int
 	// Restartable requests can be started again on another engine.
 	Restartable bool
-	// Waits is set once the request waited, since Queued.
+	// Waits is set once the request waited, since Queued after the begin of
+	// the run. It is no time.Time, whose pointer makes copies of requests
+	// slower.
 	Waits  bool
-	Queued time.Time
+	Queued time.Duration
 }
 
 // Work returns the request's work in tokens of output.
