--- a/cmd/caroblane-fake/root.go
+++ b/cmd/caroblane-fake/root.go
@@ -13,8 +13,8 @@
 func root() *cli.Command {
 	return &cli.Command{
 		Name:     "caroblane-fake",
-		Usage:    "run a stand-in for an outside system, or a measurement on emulated engines",
-		Commands: []*cli.Command{engineCommand(), plainCommand(), policyCommand(), storeCommand()},
+		Usage:    "run a stand-in for an outside system, a load of callers, or a measurement on emulated engines",
+		Commands: []*cli.Command{engineCommand(), plainCommand(), loadCommand(), policyCommand(), storeCommand()},
 	}
 }
 
