--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -344,12 +344,15 @@
 func (n *Node) reading() meter.Reading {
 	state := n.loop.Snapshot()
 	return meter.Reading{
-		Version:   state.Conf().Version(),
-		Fresh:     state.Peers().Fresh(n.clock.Now()),
-		LeaseHeld: state.Lease().Held(n.clock.Now()),
-		Open:      state.Flow().Open(),
-		Queued:    n.loop.Queued(),
-		Faults:    len(state.Conf().Faults()),
+		Version:        state.Conf().Version(),
+		Fresh:          state.Peers().Fresh(n.clock.Now()),
+		LeaseHeld:      state.Lease().Held(n.clock.Now()),
+		Settled:        state.Limit().Settled(n.clock.Now()),
+		Waiting:        state.Limit().Waiting(),
+		WaitingForSlot: state.Flow().Waiting(),
+		Open:           state.Flow().Open(),
+		Queued:         n.loop.Queued(),
+		Faults:         len(state.Conf().Faults()),
 	}
 }
 
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -28,6 +28,14 @@
 	Fresh bool
 	// LeaseHeld tells that the node holds the region's control lease.
 	LeaseHeld bool
+	// Settled tells that the node's own share of rates and bursts counts.
+	Settled bool
+	// Waiting is the number of requests that wait for a token of their client
+	// account. There is no gauge for an account: 11,000 label values on each
+	// node would be the largest part of its memory.
+	Waiting int
+	// WaitingForSlot is the number of requests that wait for an upstream.
+	WaitingForSlot int
 	// Open is the number of open requests.
 	Open int
 	// Queued is the number of events in the control queue.
