Do not blame requests for the end of a reclaimed upstream

Cause: when the cheap engines of a zone were reclaimed, their end counted as a crash of every request that they ran. Six streams of the same content were then refused with CrashSuspect in place of being generated again elsewhere.

Change: the end of an upstream that is drained, removed, or on a VM that the platform lists as leaving is no crash.

--- a/core/flow/attempt.go
+++ b/core/flow/attempt.go
@@ -60,7 +60,7 @@
 	if !ok || c.phase != running || e.Attempt != c.attempt {
 		return s
 	}
-	if e.Crashed && !c.crashCounted {
+	if e.Crashed && !c.crashCounted && !s.expected(c.upstream, facts.Conf) {
 		s = s.crashed(c.upstream, facts, out)
 	}
 	u, _ := s.uses.Get(c.upstream)
--- a/core/flow/crash.go
+++ b/core/flow/crash.go
@@ -3,10 +3,19 @@
 import (
 	"time"
 
+	"caroblane/core/conf"
 	"caroblane/core/event"
 	"caroblane/core/model"
 )
 
+// expected tells that the end of an upstream's process is no sign of a crash:
+// its VM is being reclaimed, or an operator takes it out of service. The
+// requests that it ran must not be blamed.
+func (s State) expected(name model.UpstreamName, config conf.State) bool {
+	upstream, ok := config.Upstream(name)
+	return !ok || upstream.State != model.UpstreamActive || s.onLeavingVM(upstream.Address)
+}
+
 // crashed counts the crash of an upstream once for each request that it ran.
 func (s State) crashed(name model.UpstreamName, facts Facts, out *Out) State {
 	var fingerprints []uint64
--- a/core/flow/place.go
+++ b/core/flow/place.go
@@ -123,13 +123,18 @@
 }
 
 // leaves tells whether the VM of the upstream will be stopped soon.
-func (c candidate) leaves() bool {
-	if c.leaving.Len() == 0 {
+func (c candidate) leaves() bool { return onLeavingVM(c.leaving, c.Address) }
+
+// onLeavingVM tells whether the VM at an address will be stopped soon.
+func (s State) onLeavingVM(address string) bool { return onLeavingVM(s.leaving, address) }
+
+func onLeavingVM(leaving *immutable.Map[string, struct{}], address string) bool {
+	if leaving.Len() == 0 {
 		return false
 	}
-	address, _ := netip.ParseAddrPort(c.Address)
-	_, leaving := c.leaving.Get(address.Addr().String())
-	return leaving
+	parsed, _ := netip.ParseAddrPort(address)
+	_, found := leaving.Get(parsed.Addr().String())
+	return found
 }
 
 // withLeaving replaces the VMs that will be stopped soon.
