--- a/core/order/engine.go
+++ b/core/order/engine.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/benbjohnson/immutable"
-
 	"caroblane/core/effect"
 	"caroblane/core/event"
 	"caroblane/core/model"
@@ -15,24 +13,10 @@
 // engineOrders sends orders to engines and tracks them until they end. Each
 // engine has at most one outstanding order.
 type engineOrders struct {
-	settings Settings
-	opIDs    opIDs
-	// epoch is the epoch of the held lease, or zero while the lease is not
-	// held.
-	epoch model.Epoch
+	outstanding[model.UpstreamName, engineOrder]
 	// inFlightUntil is when transmissions that started before the last loss of
 	// the lease or change of epoch can no longer arrive.
 	inFlightUntil time.Time
-	// listed is set once the orders left by earlier lease holders have been
-	// listed.
-	listed       bool
-	listOp       model.Op
-	retryAt      time.Time
-	listFailures int
-	orders       *immutable.Map[model.UpstreamName, engineOrder]
-	// calls maps the sequence number of each call in flight to its engine.
-	calls       *immutable.Map[uint64, model.UpstreamName]
-	nextTimerAt time.Time
 }
 
 // engineOrder is the state of the order of one engine.
@@ -66,12 +50,8 @@
 }
 
 func newEngineOrders(settings Settings, incarnation model.Incarnation) engineOrders {
-	return engineOrders{
-		settings: settings,
-		opIDs:    opIDs{owner: ownerEngine, incarnation: incarnation},
-		orders:   immutable.NewMap[model.UpstreamName, engineOrder](nil),
-		calls:    immutable.NewMap[uint64, model.UpstreamName](nil),
-	}
+	ids := opIDs{owner: ownerEngine, incarnation: incarnation}
+	return engineOrders{outstanding: newOutstanding[model.UpstreamName, engineOrder](settings, model.KindOrder, ids)}
 }
 
 func (s engineOrders) apply(sc *stepContext) engineOrders {
@@ -79,45 +59,47 @@
 		s = s.dropOrders(epoch, sc)
 	}
 	if request, ok := sc.in.Event.(event.OrderAsked); ok {
-		return s.handleOrderAsked(request, sc).withTimer(sc)
+		return s.handleOrderAsked(request, sc).withNextTimer(sc)
 	}
 	if !sc.authority.valid(sc.in.At) {
 		s.nextTimerAt = time.Time{}
 		return s
 	}
 	if op, ok := responseTo(sc.in.Event); ok {
-		if op == s.listOp {
-			return s.handleObjectsListed(sc).withTimer(sc)
-		}
-		name, ok := s.calls.Get(op.Seq)
-		if !ok {
-			return s
-		}
-		s.calls = s.calls.Delete(op.Seq)
-		if o, ok := s.orders.Get(name); ok {
-			s = s.advance(o.handleResponse(sc, op, s.settings), sc)
-		}
-		return s.withTimer(sc)
+		return s.handleResponse(op, sc)
 	}
 	switch sc.in.Event.(type) {
 	case event.Tick, event.AuthorityChanged:
-		return s.advanceDue(sc).withTimer(sc)
+		return s.advanceDue(sc).withNextTimer(sc)
 	}
 	return s
 }
 
+// handleResponse applies the response to a call.
+func (s engineOrders) handleResponse(op model.Op, sc *stepContext) engineOrders {
+	if op == s.listOp {
+		return s.handleObjectsListed(sc).withNextTimer(sc)
+	}
+	var o engineOrder
+	var found, answered bool
+	if s.outstanding, o, found, answered = s.withoutCall(op); !answered {
+		return s
+	}
+	if found {
+		s = s.advance(o.handleResponse(sc, op, s.settings), sc)
+	}
+	return s.withNextTimer(sc)
+}
+
 // dropOrders drops all orders when the lease is lost or its epoch changes.
-// Recorded orders stay in the store for the next lease holder.
 func (s engineOrders) dropOrders(epoch model.Epoch, sc *stepContext) engineOrders {
 	for itr := s.orders.Iterator(); !itr.Done(); {
 		_, o, _ := itr.Next()
 		o.drop(sc)
 	}
-	next := newEngineOrders(s.settings, s.opIDs.incarnation)
-	next.opIDs = s.opIDs
-	next.epoch = epoch
-	next.inFlightUntil = sc.in.At.Add(s.settings.maxTransmissionTime())
-	return next
+	s.outstanding = s.withEpoch(epoch)
+	s.inFlightUntil = sc.in.At.Add(s.settings.maxTransmissionTime())
+	return s
 }
 
 // drop reports that the order was abandoned.
@@ -161,15 +143,9 @@
 // handleObjectsListed takes the list of recorded orders and resumes those of
 // earlier lease holders that may have been sent.
 func (s engineOrders) handleObjectsListed(sc *stepContext) engineOrders {
-	s.listOp = model.Op{}
-	listed, ok := sc.in.Event.(event.ObjectsListed)
-	if !ok {
-		s.retryAt = sc.in.At.Add(s.settings.backoff(s.listFailures, sc.in.Random))
-		s.listFailures++
-		return s
-	}
-	s.listed = true
-	for _, object := range listed.Objects {
+	var objects []model.Change
+	s.outstanding, objects = s.withListed(sc)
+	for _, object := range objects {
 		order, ok := object.Value.(model.Order)
 		name := model.UpstreamName(object.Name)
 		if _, known := s.orders.Get(name); known || !ok || order.State != model.OrderRecorded {
@@ -191,10 +167,7 @@
 // advanceDue lists the recorded orders if that is still to be done, and
 // advances every order that is not waiting for a retry.
 func (s engineOrders) advanceDue(sc *stepContext) engineOrders {
-	if !s.listed && s.listOp == (model.Op{}) && !sc.in.At.Before(s.retryAt) {
-		s.opIDs, s.listOp = s.opIDs.next()
-		sc.out.Emit(effect.ListObjects{Op: s.listOp, Kind: model.KindOrder})
-	}
+	s.outstanding = s.withListCall(sc)
 	for itr := s.orders.Iterator(); !itr.Done(); {
 		_, o, _ := itr.Next()
 		s = s.advance(o, sc)
@@ -356,8 +329,7 @@
 // startCall allocates an operation for the order and emits its effect.
 func (s engineOrders) startCall(o engineOrder, sc *stepContext, call func(engineOrder, model.Op, *stepContext) (engineOrder, effect.Effect)) engineOrders {
 	var op model.Op
-	s.opIDs, op = s.opIDs.next()
-	s.calls = s.calls.Set(op.Seq, o.name)
+	s.outstanding, op = s.withCall(o.name)
 	o, eff := call(o, op, sc)
 	sc.out.Emit(eff)
 	s.orders = s.orders.Set(o.name, o)
@@ -388,26 +360,20 @@
 	}
 }
 
-// withTimer computes when the next Tick is needed.
-func (s engineOrders) withTimer(sc *stepContext) engineOrders {
-	s.nextTimerAt = time.Time{}
-	if !sc.authority.valid(sc.in.At) {
-		return s
-	}
-	s.nextTimerAt = sc.authority.until
-	if !s.listed && s.listOp == (model.Op{}) {
-		s.nextTimerAt = step.Earliest(s.nextTimerAt, s.retryAt)
-	}
-	for itr := s.orders.Iterator(); !itr.Done(); {
-		_, o, _ := itr.Next()
-		if sc.in.At.Before(o.deadline) {
-			s.nextTimerAt = step.Earliest(s.nextTimerAt, o.deadline)
-		} else if sc.in.At.Before(o.inFlightUntil) {
-			s.nextTimerAt = step.Earliest(s.nextTimerAt, o.inFlightUntil)
+// withNextTimer computes when the next Tick is needed.
+func (s engineOrders) withNextTimer(sc *stepContext) engineOrders {
+	s.outstanding = s.withTimer(sc, func(o engineOrder) time.Time {
+		var next time.Time
+		switch {
+		case sc.in.At.Before(o.deadline):
+			next = o.deadline
+		case sc.in.At.Before(o.inFlightUntil):
+			next = o.inFlightUntil
 		}
-		if !o.stored.InFlight() && o.sendOp == (model.Op{}) {
-			s.nextTimerAt = step.Earliest(s.nextTimerAt, o.retryAt)
+		if o.stored.InFlight() || o.sendOp != (model.Op{}) {
+			return next
 		}
-	}
+		return step.Earliest(next, o.retryAt)
+	})
 	return s
 }
--- a/core/order/provision.go
+++ b/core/order/provision.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/benbjohnson/immutable"
-
 	"caroblane/core/effect"
 	"caroblane/core/event"
 	"caroblane/core/model"
@@ -16,21 +14,7 @@
 // they end. The requester chooses the identifiers, and the platform executes
 // each identifier at most once.
 type provisions struct {
-	settings Settings
-	opIDs    opIDs
-	// epoch is the epoch of the held lease, or zero while the lease is not
-	// held.
-	epoch model.Epoch
-	// listed is set once the orders left by earlier lease holders have been
-	// listed.
-	listed       bool
-	listOp       model.Op
-	retryAt      time.Time
-	listFailures int
-	active       *immutable.Map[string, provision]
-	// calls maps the sequence number of each call in flight to its order.
-	calls       *immutable.Map[uint64, string]
-	nextTimerAt time.Time
+	outstanding[string, provision]
 }
 
 // provision is the state of one provisioning order.
@@ -47,12 +31,8 @@
 }
 
 func newProvisions(settings Settings, incarnation model.Incarnation) provisions {
-	return provisions{
-		settings: settings,
-		opIDs:    opIDs{owner: ownerProvision, incarnation: incarnation},
-		active:   immutable.NewMap[string, provision](nil),
-		calls:    immutable.NewMap[uint64, string](nil),
-	}
+	ids := opIDs{owner: ownerProvision, incarnation: incarnation}
+	return provisions{newOutstanding[string, provision](settings, model.KindProvision, ids)}
 }
 
 func (s provisions) apply(sc *stepContext) provisions {
@@ -60,51 +40,53 @@
 		s = s.dropOrders(epoch, sc)
 	}
 	if request, ok := sc.in.Event.(event.ProvisionAsked); ok {
-		return s.handleProvisionAsked(request, sc).withTimer(sc)
+		return s.handleProvisionAsked(request, sc).withNextTimer(sc)
 	}
 	if s.epoch == 0 {
 		s.nextTimerAt = time.Time{}
 		return s
 	}
 	if op, ok := responseTo(sc.in.Event); ok {
-		if op == s.listOp {
-			return s.handleObjectsListed(sc).withTimer(sc)
-		}
-		id, ok := s.calls.Get(op.Seq)
-		if !ok {
-			return s
-		}
-		s.calls = s.calls.Delete(op.Seq)
-		if p, ok := s.active.Get(id); ok {
-			s = s.advance(p.handleResponse(sc, op, s.settings), sc)
-		}
-		return s.withTimer(sc)
+		return s.handleResponse(op, sc)
 	}
 	switch sc.in.Event.(type) {
 	case event.Tick, event.AuthorityChanged:
-		return s.advanceDue(sc).withTimer(sc)
+		return s.advanceDue(sc).withNextTimer(sc)
 	}
 	return s
 }
 
+// handleResponse applies the response to a call.
+func (s provisions) handleResponse(op model.Op, sc *stepContext) provisions {
+	if op == s.listOp {
+		return s.handleObjectsListed(sc).withNextTimer(sc)
+	}
+	var p provision
+	var found, answered bool
+	if s.outstanding, p, found, answered = s.withoutCall(op); !answered {
+		return s
+	}
+	if found {
+		s = s.advance(p.handleResponse(sc, op, s.settings), sc)
+	}
+	return s.withNextTimer(sc)
+}
+
 // dropOrders drops all orders when the lease is lost or its epoch changes.
-// Recorded orders stay in the store for the next lease holder.
 func (s provisions) dropOrders(epoch model.Epoch, sc *stepContext) provisions {
-	for itr := s.active.Iterator(); !itr.Done(); {
+	for itr := s.orders.Iterator(); !itr.Done(); {
 		id, _, _ := itr.Next()
 		sc.out.Raise(event.ProvisionEnded{ID: id, Dropped: true})
 	}
-	next := newProvisions(s.settings, s.opIDs.incarnation)
-	next.opIDs = s.opIDs
-	next.epoch = epoch
-	return next
+	s.outstanding = s.withEpoch(epoch)
+	return s
 }
 
 func (s provisions) handleProvisionAsked(e event.ProvisionAsked, sc *stepContext) provisions {
-	if _, ok := s.active.Get(e.ID); ok {
+	if _, ok := s.orders.Get(e.ID); ok {
 		return s
 	}
-	if s.epoch == 0 || s.active.Len() >= s.settings.MaxProvisions {
+	if s.epoch == 0 || s.orders.Len() >= s.settings.MaxProvisions {
 		sc.out.Raise(event.ProvisionEnded{ID: e.ID, Dropped: true})
 		return s
 	}
@@ -122,20 +104,14 @@
 // handleObjectsListed takes the list of recorded orders and resumes those of
 // earlier lease holders that may have been sent.
 func (s provisions) handleObjectsListed(sc *stepContext) provisions {
-	s.listOp = model.Op{}
-	listed, ok := sc.in.Event.(event.ObjectsListed)
-	if !ok {
-		s.retryAt = sc.in.At.Add(s.settings.backoff(s.listFailures, sc.in.Random))
-		s.listFailures++
-		return s
-	}
-	s.listed = true
-	for _, object := range listed.Objects {
+	var objects []model.Change
+	s.outstanding, objects = s.withListed(sc)
+	for _, object := range objects {
 		recorded, ok := object.Value.(model.Provision)
-		if _, known := s.active.Get(object.Name); known || !ok || recorded.State != model.ProvisionRecorded {
+		if _, known := s.orders.Get(object.Name); known || !ok || recorded.State != model.ProvisionRecorded {
 			continue
 		}
-		if s.active.Len() >= s.settings.MaxProvisions {
+		if s.orders.Len() >= s.settings.MaxProvisions {
 			break
 		}
 		p := newProvision(object.Name, sc.in.At.Add(s.settings.OrderTimeout))
@@ -148,11 +124,8 @@
 // advanceDue lists the recorded orders if that is still to be done, and
 // advances every order that is not waiting for a retry.
 func (s provisions) advanceDue(sc *stepContext) provisions {
-	if !s.listed && s.listOp == (model.Op{}) && !sc.in.At.Before(s.retryAt) {
-		s.opIDs, s.listOp = s.opIDs.next()
-		sc.out.Emit(effect.ListObjects{Op: s.listOp, Kind: model.KindProvision})
-	}
-	for itr := s.active.Iterator(); !itr.Done(); {
+	s.outstanding = s.withListCall(sc)
+	for itr := s.orders.Iterator(); !itr.Done(); {
 		_, p, _ := itr.Next()
 		s = s.advance(p, sc)
 	}
@@ -186,19 +159,18 @@
 	switch {
 	case !sc.in.At.Before(p.deadline), p.answered && p.result == model.SendStale:
 		sc.out.Raise(event.ProvisionEnded{ID: p.id, Dropped: true})
-		s.active = s.active.Delete(p.id)
+		s.orders = s.orders.Delete(p.id)
 		return s
 	case p.stored.InFlight(), p.sendOp != (model.Op{}), sc.in.At.Before(p.retryAt):
-		s.active = s.active.Set(p.id, p)
+		s.orders = s.orders.Set(p.id, p)
 		return s
 	case found && p.stored.Valid() && recorded.State != model.ProvisionRecorded:
 		sc.out.Raise(event.ProvisionEnded{ID: p.id, State: recorded.State})
-		s.active = s.active.Delete(p.id)
+		s.orders = s.orders.Delete(p.id)
 		return s
 	}
 	var op model.Op
-	s.opIDs, op = s.opIDs.next()
-	s.calls = s.calls.Set(op.Seq, p.id)
+	s.outstanding, op = s.withCall(p.id)
 	var call effect.Effect
 	switch {
 	case !p.stored.Valid():
@@ -220,26 +192,17 @@
 		p.stored, call = p.stored.Write(op, recorded, recorded.Nonce)
 	}
 	sc.out.Emit(call)
-	s.active = s.active.Set(p.id, p)
+	s.orders = s.orders.Set(p.id, p)
 	return s
 }
 
-// withTimer computes when the next Tick is needed.
-func (s provisions) withTimer(sc *stepContext) provisions {
-	s.nextTimerAt = time.Time{}
-	if s.epoch == 0 {
-		return s
-	}
-	s.nextTimerAt = sc.authority.until
-	if !s.listed && s.listOp == (model.Op{}) {
-		s.nextTimerAt = step.Earliest(s.nextTimerAt, s.retryAt)
-	}
-	for itr := s.active.Iterator(); !itr.Done(); {
-		_, p, _ := itr.Next()
-		s.nextTimerAt = step.Earliest(s.nextTimerAt, p.deadline)
-		if !p.stored.InFlight() && p.sendOp == (model.Op{}) {
-			s.nextTimerAt = step.Earliest(s.nextTimerAt, p.retryAt)
+// withNextTimer computes when the next Tick is needed.
+func (s provisions) withNextTimer(sc *stepContext) provisions {
+	s.outstanding = s.withTimer(sc, func(p provision) time.Time {
+		if p.stored.InFlight() || p.sendOp != (model.Op{}) {
+			return p.deadline
 		}
-	}
+		return step.Earliest(p.deadline, p.retryAt)
+	})
 	return s
 }
