Log and count what ends an answer on a platform

A stream that is cut left no trace of why: "attempt ended" did not say how long the upstream had been silent, "request declined" said neither what the retry budget was nor what the caller has, and connections that end without a complete answer were not counted.

No test raises the reasons DrainDeadline, LoopStopped and Panic.

--- a/core/effect/site.go
+++ b/core/effect/site.go
@@ -27,6 +27,9 @@
 	Quota model.QuotaCheck
 	// Wait has the inputs of the decision if the request could not be served in time.
 	Wait model.WaitCheck
+	// Retry has the inputs of the decision if the retry budget did not allow another
+	// attempt.
+	Retry model.RetryCheck
 }
 
 // Forward sends a request to an upstream.
--- a/core/model/report.go
+++ b/core/model/report.go
@@ -163,6 +163,16 @@
 	FirstEvent, Timeout time.Duration
 }
 
+// RetryCheck are the inputs of a decision of the retry budget of a service. Service
+// is empty if the budget did not decide.
+type RetryCheck struct {
+	Service ServiceName
+	// Requests and Retries are the numbers within the window of the budget, and Limit
+	// is the maximum of Retries.
+	Requests, Retries int
+	Limit             float64
+}
+
 // QuotaCheck are the inputs of an admission decision, in units of the limit.
 type QuotaCheck struct {
 	Account AccountName
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -64,18 +64,23 @@
 // do not allow the retry.
 func (b Budget) WithRetry(at time.Time) (Budget, bool) {
 	b = b.advancedTo(at)
-	var sum slot
-	for _, s := range b.slots {
-		sum.requests += s.requests
-		sum.retries += s.retries
-	}
-	if float64(sum.retries+1) > b.limits.PerRequest*float64(sum.requests)+b.limits.Fixed {
+	if _, retries, limit := b.Usage(at); float64(retries+1) > limit {
 		return b, false
 	}
 	b.slots[b.second%windowSeconds].retries++
 	return b, true
 }
 
+// Usage returns the numbers of requests and retries within the window, and the
+// maximum number of retries.
+func (b Budget) Usage(at time.Time) (requests, retries int, limit float64) {
+	for _, s := range b.advancedTo(at).slots {
+		requests += int(s.requests)
+		retries += int(s.retries)
+	}
+	return requests, retries, b.limits.PerRequest*float64(requests) + b.limits.Fixed
+}
+
 // advancedTo returns the budget with the slots cleared that have left the
 // window. If the clock steps back, events are counted in the latest slot.
 func (b Budget) advancedTo(at time.Time) Budget {
--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -274,6 +274,8 @@
 		budget, ok := s.budget(req.service.Name, facts).WithRetry(facts.At)
 		s.retries = s.retries.Set(req.service.Name, budget)
 		if !ok {
+			requests, retries, limit := budget.Usage(facts.At)
+			req.retryCheck = model.RetryCheck{Service: req.service.Name, Requests: requests, Retries: retries, Limit: limit}
 			if req.runs > 0 {
 				return s.failUnknown(e, req, out)
 			}
@@ -298,7 +300,7 @@
 		reason = model.StreamTruncated
 	}
 	out.Emit(
-		effect.Decline{Ticket: e.Ticket, Reason: reason, Execution: model.OutcomeUnknown},
+		effect.Decline{Ticket: e.Ticket, Reason: reason, Execution: model.OutcomeUnknown, Retry: req.retryCheck},
 		effect.CountRefusal{Reason: reason},
 	)
 	return s.remove(e.Ticket, req, out)
@@ -340,7 +342,7 @@
 		out.Raise(event.QuotaReturned{Account: req.account.Name, Units: req.units})
 	}
 	out.Emit(
-		effect.Decline{Ticket: ticket, Reason: reason, Execution: execution, RetryAt: retryAt},
+		effect.Decline{Ticket: ticket, Reason: reason, Execution: execution, RetryAt: retryAt, Retry: req.retryCheck},
 		effect.CountRefusal{Reason: reason},
 	)
 	return s.remove(ticket, req, out)
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -117,6 +117,8 @@
 	// and lastEvent is the ID of the last stream event in it.
 	responseStarted bool
 	lastEvent       string
+	// retryCheck is set if the retry budget did not allow another attempt.
+	retryCheck model.RetryCheck
 }
 
 // State holds the open requests of this node, its crash counts and its retry
--- a/io/cmds/explain.go
+++ b/io/cmds/explain.go
@@ -178,6 +178,8 @@
 		}
 	}
 	switch {
+	case last.Get("Abort") != "":
+		return "connection aborted, " + last.Get("Abort")
 	case last.Get("Reason") != "":
 		return fmt.Sprintf("status %s, %s, %s", last.Get("Status"), last.Get("Reason"), last.Get("Execution"))
 	case last.Get("Outcome") != "":
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -52,6 +52,7 @@
 	registry       *prometheus.Registry
 	refusals       map[model.Reason]prometheus.Counter
 	retries        map[model.RetryReason]prometheus.Counter
+	aborts         map[model.AbortReason]prometheus.Counter
 	firstTokenTime prometheus.Histogram
 	tokenInterval  prometheus.Histogram
 	events         typeCounter
@@ -66,6 +67,8 @@
 	m.refusals = initCounters(refusals, model.Reasons())
 	retries := m.newCounters("caroblane_retries_total", "Further attempts at an upstream.", "reason")
 	m.retries = initCounters(retries, model.RetryReasons())
+	aborts := m.newCounters("caroblane_aborted_responses_total", "Caller connections that ended without a complete response.", "reason")
+	m.aborts = initCounters(aborts, model.AbortReasons())
 	m.events.vector = m.newCounters("caroblane_control_events_total", "Events applied by the control loop.", "event")
 	m.effects.vector = m.newCounters("caroblane_control_effects_total", "Effects emitted by the control loop.", "effect")
 	// The targets at the 95th percentile are 0.45 s for the first token and 51 ms
@@ -81,6 +84,13 @@
 // BetweenTokens records the time between two tokens of a stream.
 func (m *Metrics) BetweenTokens(gap time.Duration) { m.tokenInterval.Observe(gap.Seconds()) }
 
+// CountAbort counts a caller connection that ended without a complete response.
+func (m *Metrics) CountAbort(reason model.AbortReason) {
+	if counter, ok := m.aborts[reason]; ok {
+		counter.Inc()
+	}
+}
+
 // CountEffect counts an effect by its type.
 func (m *Metrics) CountEffect(e effect.Effect) { m.effects.count(e) }
 
--- a/io/meter/meter_test.go
+++ b/io/meter/meter_test.go
@@ -26,6 +26,13 @@
 			t.Errorf("no %s", want)
 		}
 	}
+	for _, reason := range model.AbortReasons() {
+		if want := `caroblane_aborted_responses_total{reason="` + reason.String() + `"} 0`; !strings.Contains(scrape(m), want) {
+			t.Errorf("no %s", want)
+		}
+	}
+	m.CountAbort(model.AbortStreamTruncated)
+	m.CountAbort(-1)
 	m.Execute(context.Background(), effect.CountRefusal{Reason: model.RateLimited})
 	m.Execute(context.Background(), effect.CountRetry{Reason: model.RetryBroken})
 	m.Execute(context.Background(), effect.CountRefusal{Reason: -1})
@@ -38,6 +45,7 @@
 	text := scrape(m)
 	for _, want := range []string{
 		`caroblane_refusals_total{reason="RateLimited"} 1`,
+		`caroblane_aborted_responses_total{reason="StreamTruncated"} 1`,
 		`caroblane_retries_total{reason="RetryBroken"} 1`,
 		`caroblane_retries_total{reason="RetryResumed"} 0`,
 		`caroblane_control_events_total{event="Tick"} 2`,
