Reproduce answers that are cut because their upstream is silent

Callers see streams that end without their end, and plain requests that get 502, although the upstream was sound and only silent for a second.

TestRunGivenUpBySilence and TestAnswerEndedBySilence play the silence on the reducer.

--- /dev/null
+++ b/core/serve/silence_test.go
@@ -0,0 +1,160 @@
+package serve_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"caroblane/core/effect"
+	"caroblane/core/event"
+	"caroblane/core/fleet"
+	"caroblane/core/model"
+	"caroblane/core/serve"
+	"caroblane/core/site"
+)
+
+// newSilenceHarness returns a harness with routes that have a latency target, a retry
+// budget with the given slack and a number of upstreams. A request to the given path has
+// arrived.
+func newSilenceHarness(path string, slack float64, upstreams int) *harness {
+	limits := bounds
+	limits.RetryRatio, limits.RetrySlack = 0, slack
+	h := &harness{serve: serve.New(limits), site: site.New(bounds), fleet: fleet.New()}
+	config := newSite()
+	for name, attempts := range map[string]int{"once": 1, "resume": 2, "thrice": 3} {
+		config.Routes = append(config.Routes, model.SiteRoute{
+			Name: model.RouteName(name), Host: "h", Prefix: "/silent/" + name + "/", Repeat: model.RepeatResumed, Stream: true,
+			Services: []model.Share{{Service: "app", Weight: 1}}, Attempts: attempts,
+		})
+	}
+	config.Routes = append(config.Routes, model.SiteRoute{
+		Name: "silent-read", Host: "h", Prefix: "/silent/read/", Repeat: model.RepeatFreely,
+		Services: []model.Share{{Service: "app", Weight: 1}}, Attempts: 2,
+	})
+	for i := range config.Routes {
+		config.Routes[i].Timeout, config.Routes[i].Objective = time.Minute, 100*time.Millisecond
+	}
+	h.site, _ = h.site.Apply(h.in(event.SiteRead{SentAt: startTime, Revision: 3, Site: config}))
+	h.register(upstreams, 3)
+	h.apply(event.SiteArrived{Ticket: 1, Request: model.SiteRequest{
+		ID: "r", Host: "h", Path: path, HasKey: true, KeyHash: key, Fingerprint: 9,
+		ArrivedAt: startTime, CallerDeadline: startTime.Add(time.Minute),
+	}})
+	return h
+}
+
+// register sets the number of upstreams.
+func (h *harness) register(upstreams int, revision model.Version) {
+	read := event.UpstreamsRead{Revision: revision}
+	for i := range upstreams {
+		name := string(rune('a' + i))
+		read.Upstreams = append(read.Upstreams, model.Upstream{Name: model.UpstreamName(name), Address: name, Slots: 6, Service: "app"})
+	}
+	h.fleet, _ = h.fleet.Apply(h.in(read))
+}
+
+// fallSilent plays the running attempt while its upstream is silent once for as long as
+// the attempt watches for. lastEvent is the id of the last event that the caller has.
+func (h *harness) fallSilent(begun, reachable bool, lastEvent string) {
+	if h.forward == nil || h.forward.StallDeadline.IsZero() {
+		return
+	}
+	h.now += max(h.forward.StallTimeout, h.forward.StallDeadline.Sub(startTime.Add(h.now)))
+	h.endAttempt(event.ForwardEnded{
+		Outcome: model.Broken, Stalled: true, Crashed: !reachable, Passed: begun, LastEvent: lastEvent,
+	})
+}
+
+// TestRunGivenUpBySilence guards against a run that is given up because its upstream is
+// silent although no second run can start, and against an answer that has begun and is
+// given up although its upstream is reachable.
+func TestRunGivenUpBySilence(t *testing.T) {
+	const slack = 40
+	for name, c := range map[string]struct {
+		path      string
+		slack     float64
+		upstreams int
+		// brokenFirst is set if the silent attempt follows one whose connection broke.
+		brokenFirst      bool
+		begun, reachable bool
+		lastEvent        string
+		givenUp          bool
+	}{
+		"not begun":                       {path: "/silent/resume/1", slack: slack, upstreams: 4, reachable: true, givenUp: true},
+		"not begun, unreachable":          {path: "/silent/resume/1", slack: slack, upstreams: 4, givenUp: true},
+		"read":                            {path: "/silent/read/1", slack: slack, upstreams: 4, reachable: true, givenUp: true},
+		"begun":                           {path: "/silent/resume/1", slack: slack, upstreams: 4, begun: true, reachable: true, lastEvent: "2"},
+		"begun, unreachable":              {path: "/silent/resume/1", slack: slack, upstreams: 4, begun: true, lastEvent: "2", givenUp: true},
+		"begun, unreachable, no event id": {path: "/silent/resume/1", slack: slack, upstreams: 4, begun: true},
+		"budget spent":                    {path: "/silent/resume/1", upstreams: 4, reachable: true},
+		"read, budget spent":              {path: "/silent/read/1", upstreams: 4, reachable: true},
+		"begun, budget spent":             {path: "/silent/resume/1", upstreams: 4, begun: true, lastEvent: "2"},
+		"only upstream":                   {path: "/silent/resume/1", slack: slack, upstreams: 1, reachable: true},
+		"begun, only upstream":            {path: "/silent/resume/1", slack: slack, upstreams: 1, begun: true, lastEvent: "2"},
+		"no other upstream":               {path: "/silent/thrice/1", slack: slack, upstreams: 2, brokenFirst: true, begun: true, lastEvent: "2"},
+		"one attempt":                     {path: "/silent/once/1", slack: slack, upstreams: 4, reachable: true},
+		"no attempt left":                 {path: "/silent/resume/1", slack: slack, upstreams: 4, brokenFirst: true, begun: true, lastEvent: "2"},
+		"attempt left":                    {path: "/silent/thrice/1", slack: slack, upstreams: 4, brokenFirst: true, begun: true, lastEvent: "2", givenUp: true},
+		"stream that cannot be resumed":   {path: "/stream/1", slack: slack, upstreams: 4, begun: true},
+		"send":                            {path: "/send/1", slack: slack, upstreams: 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newSilenceHarness(c.path, c.slack, c.upstreams)
+			if c.brokenFirst {
+				h.endAttempt(event.ForwardEnded{Outcome: model.Broken})
+			}
+			silent := *h.forward
+			h.fallSilent(c.begun, c.reachable, c.lastEvent)
+			if len(h.replies) > 0 {
+				t.Fatalf("the request has ended: %+v", h.replies)
+			}
+			if givenUp := h.forward.Attempt != silent.Attempt; givenUp != c.givenUp {
+				t.Fatalf("given up: %v, want %v", givenUp, c.givenUp)
+			}
+			if c.givenUp && (h.forward.Upstream.Name == silent.Upstream.Name || h.forward.LastEvent != c.lastEvent) {
+				t.Errorf("second run at %q after event %q; the silent one was at %q, the last event is %q",
+					h.forward.Upstream.Name, h.forward.LastEvent, silent.Upstream.Name, c.lastEvent)
+			}
+			h.endAttempt(event.ForwardEnded{Outcome: model.Completed, Passed: true})
+			if _, finished := h.replies[0].(effect.Finish); !finished || len(h.replies) != 1 || h.serve.Open() != 0 {
+				t.Errorf("replies after the whole answer: %+v", h.replies)
+			}
+		})
+	}
+}
+
+// TestAnswerEndedBySilence guards, over random silences, retry budgets and fleets, against
+// an answer that ends because of silence before its deadline, and against a second run of
+// an answer that has begun at an upstream that is reachable.
+func TestAnswerEndedBySilence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		path := rapid.SampledFrom([]string{"/silent/resume/1", "/silent/thrice/1", "/silent/read/1", "/silent/once/1", "/stream/1"}).Draw(t, "path")
+		h := newSilenceHarness(path, float64(rapid.IntRange(0, 4).Draw(t, "slack")), rapid.IntRange(1, 4).Draw(t, "upstreams"))
+		begun, lastEvent := false, ""
+		for i := range rapid.IntRange(1, 30).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				if h.forward.Stream {
+					begun, lastEvent = true, string(rune('a'+i))
+					h.apply(event.ForwardBegan{Ticket: 1, Attempt: h.forward.Attempt})
+				}
+			case 1:
+				h.register(rapid.IntRange(1, 4).Draw(t, "upstreams"), model.Version(i+4))
+			default:
+				attempt, reachable := h.forward.Attempt, rapid.Bool().Draw(t, "reachable")
+				h.fallSilent(begun, reachable, lastEvent)
+				if len(h.replies) > 0 {
+					t.Fatalf("silence has ended the request: %+v", h.replies)
+				}
+				if begun && reachable && h.forward.Attempt != attempt {
+					t.Fatal("an answer that has begun was given up although its upstream is reachable")
+				}
+			}
+		}
+		h.endAttempt(event.ForwardEnded{Outcome: model.Completed, Passed: true})
+		if _, finished := h.replies[0].(effect.Finish); !finished || len(h.replies) != 1 || h.serve.Open() != 0 {
+			t.Fatalf("replies after the whole answer: %+v", h.replies)
+		}
+	})
+}
