Give up a silent run only once another can start

Callers of a platform's entry daemon see streams cut without their end, and plain requests answered 502 (outcome unknown), while the upstream is sound and only silent for a second.

Cause: the stall timer in platform/forward.go closed the connection to the upstream, and only then did core/serve ask the retry budget and look for another upstream. With the budget of the service spent, which many silent upstreams do at once, or without another upstream, the request ended.

Silence is now an event. The traffic goroutine probes the upstream and posts event.ForwardSilent, and the attempt goes on. core/serve answers with effect.AbandonAttempt only if the route allows another run, an attempt is left, another upstream is reachable and has a free slot, and the retry budget allows it; the retry is taken at that moment, and not asked for again at the end of the attempt. An answer that has begun is given up only if its upstream is unreachable and the stream can be resumed. An attempt ignores the effect if data has come since the report, and the reducer ignores reports that are late, repeated, or cross its reply. If the other upstream is gone by the end of the attempt and no other is usable, the one that was chosen gets the run. Silence is reported at most every 100 ms.

The cost: a stream that has begun on a process that hangs for good, but still accepts connections, ends at its deadline.

--- a/core/effect/site.go
+++ b/core/effect/site.go
@@ -6,6 +6,16 @@
 	"caroblane/core/model"
 )
 
+// AbandonAttempt gives up an attempt whose upstream is silent, because another run can
+// start at once. The attempt closes its connection and ends with event.ForwardEnded. If
+// the upstream has sent data since the report, the attempt goes on.
+type AbandonAttempt struct {
+	Ticket  model.Ticket
+	Attempt int
+	// Report is the number of the report in event.ForwardSilent.
+	Report int
+}
+
 // Believe reports a change in this node's view of its lease, peers or upstreams.
 type Believe struct {
 	Belief model.Belief
@@ -54,10 +64,10 @@
 	LastEvent string
 	// NotAfter is the deadline of the attempt.
 	NotAfter time.Time
-	// StallDeadline is when an attempt without any response counts as stalled.
-	// StallTimeout is the maximum gap in the response after its start. Zero means
-	// that there is no limit before NotAfter, because the request must not run
-	// again.
+	// StallDeadline is when an attempt without any response is reported as silent
+	// with event.ForwardSilent. StallTimeout is the gap in the response that is
+	// reported, and the time between two reports. Zero means that no silence is
+	// reported, because the request must not run again.
 	StallDeadline time.Time
 	StallTimeout  time.Duration
 	// CallerDeadline is when the caller stops waiting, so that the upstream may
@@ -102,6 +112,8 @@
 // RegisterMember writes the registration of this node to the store.
 type RegisterMember struct{ Member model.Member }
 
+func (e AbandonAttempt) To() model.Ticket { return e.Ticket }
+
 func (e Decline) To() model.Ticket { return e.Ticket }
 
 func (e Forward) To() model.Ticket { return e.Ticket }
@@ -110,6 +122,7 @@
 
 func (e SyncReply) To() model.Ticket { return e.Ticket }
 
+func (AbandonAttempt) isEffect() {}
 func (Believe) isEffect()        {}
 func (Decline) isEffect()        {}
 func (Forward) isEffect()        {}
--- a/core/event/site.go
+++ b/core/event/site.go
@@ -23,7 +23,7 @@
 	Status int
 	// Expired is set if the attempt ended by its deadline.
 	Expired bool
-	// Stalled is set if the upstream sent nothing for too long.
+	// Stalled is set if the attempt was given up because of effect.AbandonAttempt.
 	Stalled bool
 	// Crashed is set if the upstream's process appears to have terminated.
 	Crashed bool
@@ -38,6 +38,24 @@
 	LastEvent string
 }
 
+// ForwardSilent reports that the upstream of an attempt has sent nothing for the
+// interval of effect.Forward. The attempt goes on.
+type ForwardSilent struct {
+	Ticket  model.Ticket
+	Attempt int
+	// Report numbers the reports of the attempt from 1.
+	Report int
+	// Begun is set if the caller has a part of the response. LastEvent is the id of
+	// the last event in it.
+	Begun     bool
+	LastEvent string
+	// Reachable is set if the upstream accepted a connection after the interval.
+	Reachable bool
+	// Ignored counts the replies effect.AbandonAttempt that the attempt did not follow,
+	// because the upstream had sent data since the report.
+	Ignored int
+}
+
 // RegistryFailed reports that the upstream registry could not be read.
 type RegistryFailed struct{}
 
@@ -80,6 +98,7 @@
 
 func (ForwardBegan) isEvent()       {}
 func (ForwardEnded) isEvent()       {}
+func (ForwardSilent) isEvent()      {}
 func (RegistryFailed) isEvent()     {}
 func (SettingsChanged) isEvent()    {}
 func (SiteArrived) isEvent()        {}
--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -17,12 +17,14 @@
 	// prefillOverhead is the part of the time of a prefill step that does not depend
 	// on the length of the prompt.
 	prefillOverhead = 10 * time.Millisecond
-	// stallFactor is the multiple of the route's latency objective after which a
-	// repeatable run counts as stalled. gapStallFactor is the multiple of the
-	// route's target for the longest gap between stream events, after which it
-	// does so too.
-	stallFactor    = 2.5
-	gapStallFactor = 4
+	// stallFactor is the multiple of the route's latency objective after which the
+	// upstream of a repeatable run is reported as silent. gapStallFactor is the
+	// multiple of the route's target for the longest gap between stream events, after
+	// which it is so too. minStallTimeout limits how often silence is reported on
+	// routes with very short targets.
+	stallFactor     = 2.5
+	gapStallFactor  = 4
+	minStallTimeout = 100 * time.Millisecond
 )
 
 // dispatch sends a request to the next upstream.
@@ -37,6 +39,9 @@
 		return s.dispatchToEngine(ticket, req, facts, out)
 	}
 	u, found := pickService(req, facts)
+	if !found && req.silence.retryTaken {
+		u, found = req.silence.next, true
+	}
 	if !found {
 		return s.fail(ticket, req, model.NoUpstream, facts, out)
 	}
@@ -54,6 +59,12 @@
 		return s.fail(ticket, req, model.NoUpstream, facts, out)
 	}
 	choice, found := pickEngine(req, facts)
+	if !found && req.silence.retryTaken {
+		choice = engineChoice{
+			upstream: req.silence.next, tokens: promptWork(req.received.PromptTokens), added: req.received.PromptTokens,
+		}
+		found = true
+	}
 	if found && req.attempt == 0 {
 		if check, inTime := choice.waitCheck(req, facts); !inTime {
 			return s.refuseLate(ticket, req, check, facts, out)
@@ -91,7 +102,7 @@
 			Service: req.service.Name, Prompt: load.Prompt, Output: float64(req.received.OutputTokens),
 		}})
 	}
-	req.sentAt = facts.At
+	req.sentAt, req.silence = facts.At, silence{}
 	if upstream, found := facts.Fleet.Get(u.Name); found {
 		req.placed.ahead = upstream.PromptBacklog()
 	}
@@ -116,7 +127,7 @@
 	if step == model.StepRun && forward.Runs <= u.Slots && req.canAbandonRun() {
 		stall := max(time.Duration(stallFactor*float64(req.route.Objective)), prefillSlack+2*req.placed.wait)
 		forward.StallDeadline = facts.At.Add(stall)
-		forward.StallTimeout = max(gapStallFactor*req.route.MaxTokenGap, time.Duration(stallFactor*float64(req.route.Objective)))
+		forward.StallTimeout = max(minStallTimeout, gapStallFactor*req.route.MaxTokenGap, time.Duration(stallFactor*float64(req.route.Objective)))
 	}
 	if req.kvHandle == "" {
 		forward.CopyFrom = req.placed.copyFrom
@@ -128,7 +139,7 @@
 	return s
 }
 
-// canAbandonRun reports whether a stalled run may be abandoned for another one.
+// canAbandonRun reports whether a silent run may be given up for another one.
 func (req openRequest) canAbandonRun() bool {
 	return req.route.Repeat != model.RepeatNever && req.route.Objective > 0 && req.attemptsLeft() > 1
 }
@@ -249,9 +260,7 @@
 	if e.Outcome == model.Completed {
 		return s.finish(e.Ticket, req, out)
 	}
-	// A KV handle can be used only once.
-	req.kvHandle, req.skipPrefill = "", true
-	req.tried = append(req.tried[:len(req.tried):len(req.tried)], req.upstream.Name)
+	req = req.withoutUpstream()
 	if notRun {
 		req.rejections++
 		if req.rejections > maxRejections {
@@ -268,9 +277,9 @@
 
 // retryElsewhere sends a request to another upstream, within the retry budget
 // of its service. An attempt that did not reach its upstream does not consume
-// the budget.
+// the budget, and for one that was given up it has been asked already.
 func (s State) retryElsewhere(e event.ForwardEnded, req openRequest, facts Facts, out *Out) State {
-	if e.Outcome != model.NotSent {
+	if e.Outcome != model.NotSent && !req.silence.retryTaken {
 		budget, ok := s.budget(req.service.Name, facts).WithRetry(facts.At)
 		s.retries = s.retries.Set(req.service.Name, budget)
 		if !ok {
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -119,6 +119,7 @@
 	lastEvent       string
 	// retryCheck is set if the retry budget did not allow another attempt.
 	retryCheck model.RetryCheck
+	silence    silence
 }
 
 // State holds the open requests of this node, its crash counts and its retry
@@ -157,6 +158,8 @@
 		s = s.handleForwardBegan(e, &out)
 	case event.ForwardEnded:
 		s = s.handleForwardEnded(e, facts, &out)
+	case event.ForwardSilent:
+		s = s.handleForwardSilent(e, facts, &out)
 	case event.CallerGone:
 		s = s.handleCallerGone(e.Ticket, &out)
 	case event.SyncAnswered:
--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -54,6 +54,12 @@
 	forward *effect.Forward
 	replies []effect.Reply
 	sends   int
+	// reports is the number of reports of silence, and abandoned is set once the
+	// running attempt is to be given up.
+	reports   int
+	abandoned bool
+	// effects are those of the last event.
+	effects []effect.Effect
 }
 
 func newHarness() *harness {
@@ -73,6 +79,7 @@
 
 func (h *harness) apply(e event.Event) {
 	pending := []event.Event{e}
+	h.effects = nil
 	for len(pending) > 0 {
 		in := h.in(pending[0])
 		pending = pending[1:]
@@ -86,10 +93,14 @@
 			Site: h.site, Fleet: h.fleet, Nodes: 2, Zone: "z", Random: in.Random, At: in.At, Initialized: h.site.HasConfig(),
 		})
 		pending = append(pending, out.Raised...)
+		h.effects = append(h.effects, out.Effects...)
 		for _, f := range out.Effects {
 			if forward, ok := f.(effect.Forward); ok {
 				h.forward = &forward
 				h.sends++
+				h.reports, h.abandoned = 0, false
+			} else if e, ok := f.(effect.AbandonAttempt); ok {
+				h.abandoned = h.forward != nil && e.Attempt == h.forward.Attempt && e.Report == h.reports
 			} else if reply, ok := f.(effect.Reply); ok {
 				h.replies = append(h.replies, reply)
 			}
--- a/core/serve/silence_test.go
+++ b/core/serve/silence_test.go
@@ -55,12 +55,20 @@
 }
 
 // fallSilent plays the running attempt while its upstream is silent once for as long as
-// the attempt watches for. lastEvent is the id of the last event that the caller has.
+// the attempt watches for, and the end of the attempt if it is given up. lastEvent is the
+// id of the last event that the caller has.
 func (h *harness) fallSilent(begun, reachable bool, lastEvent string) {
 	if h.forward == nil || h.forward.StallDeadline.IsZero() {
 		return
 	}
 	h.now += max(h.forward.StallTimeout, h.forward.StallDeadline.Sub(startTime.Add(h.now)))
+	h.reports++
+	h.apply(event.ForwardSilent{
+		Ticket: 1, Attempt: h.forward.Attempt, Report: h.reports, Begun: begun, LastEvent: lastEvent, Reachable: reachable,
+	})
+	if !h.abandoned {
+		return
+	}
 	h.endAttempt(event.ForwardEnded{
 		Outcome: model.Broken, Stalled: true, Crashed: !reachable, Passed: begun, LastEvent: lastEvent,
 	})
@@ -90,6 +98,7 @@
 		"budget spent":                    {path: "/silent/resume/1", upstreams: 4, reachable: true},
 		"read, budget spent":              {path: "/silent/read/1", upstreams: 4, reachable: true},
 		"begun, budget spent":             {path: "/silent/resume/1", upstreams: 4, begun: true, lastEvent: "2"},
+		"budget for one run":              {path: "/silent/resume/1", slack: 4, upstreams: 4, reachable: true, givenUp: true},
 		"only upstream":                   {path: "/silent/resume/1", slack: slack, upstreams: 1, reachable: true},
 		"begun, only upstream":            {path: "/silent/resume/1", slack: slack, upstreams: 1, begun: true, lastEvent: "2"},
 		"no other upstream":               {path: "/silent/thrice/1", slack: slack, upstreams: 2, brokenFirst: true, begun: true, lastEvent: "2"},
@@ -158,3 +167,82 @@
 		}
 	})
 }
+
+// TestStaleSilence guards against a report of silence that ends another attempt than the
+// one that it is about, or that takes more than one retry from the budget.
+func TestStaleSilence(t *testing.T) {
+	abandons := func(h *harness, e event.ForwardSilent) bool {
+		e.Ticket, e.Reachable = 1, true
+		h.apply(e)
+		for _, f := range h.effects {
+			if _, ok := f.(effect.AbandonAttempt); ok {
+				return true
+			}
+		}
+		return false
+	}
+	// The budget allows one retry.
+	h := newSilenceHarness("/silent/thrice/1", 4, 4)
+	for _, c := range []struct {
+		name   string
+		report event.ForwardSilent
+		want   bool
+	}{
+		{"first report", event.ForwardSilent{Attempt: 1, Report: 1}, true},
+		{"same report again", event.ForwardSilent{Attempt: 1, Report: 1}, false},
+		{"next report, while the reply is on its way", event.ForwardSilent{Attempt: 1, Report: 2}, false},
+		{"report after the reply was ignored", event.ForwardSilent{Attempt: 1, Report: 3, Ignored: 1}, true},
+		{"attempt that does not exist yet", event.ForwardSilent{Attempt: 2, Report: 4, Ignored: 1}, false},
+	} {
+		if got := abandons(h, c.report); got != c.want {
+			t.Errorf("%s: given up: %v, want %v", c.name, got, c.want)
+		}
+	}
+	h.endAttempt(event.ForwardEnded{Outcome: model.Broken, Stalled: true})
+	if h.forward == nil || h.forward.Attempt != 2 {
+		t.Fatalf("no second run, replies %+v", h.replies)
+	}
+	if abandons(h, event.ForwardSilent{Attempt: 1, Report: 4, Ignored: 1}) {
+		t.Error("a report of the first attempt ends the second one")
+	}
+	if abandons(h, event.ForwardSilent{Attempt: 2, Report: 1}) {
+		t.Error("the second attempt is given up, although the budget allowed one retry")
+	}
+	h.endAttempt(event.ForwardEnded{Outcome: model.Completed})
+	if abandons(h, event.ForwardSilent{Attempt: 2, Report: 2}) || h.serve.Open() != 0 {
+		t.Error("a report after the end of the request has an effect")
+	}
+}
+
+// TestSilentEngine guards against a run that waits for a silent engine although another
+// one is idle, and against one that is given up although all others are full.
+func TestSilentEngine(t *testing.T) {
+	for name, c := range map[string]struct {
+		full, want bool
+	}{"idle engines": {want: true}, "full engines": {full: true}} {
+		t.Run(name, func(t *testing.T) {
+			h := newEngineHarness()
+			h.apply(event.SiteArrived{Ticket: 1, Request: model.SiteRequest{
+				ID: "r", Host: "h", Path: "/twice/1", HasKey: true, KeyHash: key, PromptTokens: 9000, HasTokenCounts: true,
+				ArrivedAt: startTime, CallerDeadline: startTime.Add(time.Minute),
+			}})
+			h.endAttempt(event.ForwardEnded{Outcome: model.Completed, Status: 200, Handle: "h1"})
+			silent := *h.forward
+			if silent.Step != model.StepRun || silent.StallDeadline.IsZero() {
+				t.Fatalf("no run that is watched: %+v", silent)
+			}
+			if c.full {
+				for _, u := range h.fleet.Upstreams() {
+					h.apply(event.UseChanged{Upstream: u.Name, Runs: u.Slots})
+				}
+			}
+			h.fallSilent(false, true, "")
+			if got := h.forward.Attempt != silent.Attempt; got != c.want {
+				t.Fatalf("given up: %v, want %v", got, c.want)
+			}
+			if c.want && (h.forward.Step != model.StepRun || h.forward.Upstream.Name == silent.Upstream.Name || h.forward.Source != "") {
+				t.Errorf("second run %+v", h.forward)
+			}
+		})
+	}
+}
--- a/io/ticket/registry.go
+++ b/io/ticket/registry.go
@@ -9,9 +9,10 @@
 	"caroblane/core/model"
 )
 
-// maxUnread is the number of replies buffered for a ticket. A request gets at
-// most three dispatches, one cut and one final reply, so any further replies are
-// duplicates.
+// maxUnread is the number of replies buffered for a ticket. Of the dispatches, cuts,
+// abandoned attempts and final replies of a request, the reducers send one only after
+// the event that follows the one before, except for the reply to a report that crosses
+// the end of its attempt. So any further replies are duplicates.
 const maxUnread = 8
 
 // Registry is a registry of open tickets. Its methods are safe for concurrent use.
