--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -94,6 +94,10 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	// EndsWithConnection is set if the response has neither a length nor chunks. The
+	// end of its connection then ends the body, so a body that the upstream broke off
+	// by closing the connection cannot be told from a complete one.
+	EndsWithConnection bool
 }
 
 // Pool sends requests and keeps idle connections for reuse.
@@ -307,7 +311,9 @@
 	response, err := c.readResponse(r) //nolint:bodyclose // The body of Response closes it.
 	if err == nil {
 		body := &body{pool: p, conn: c, request: r, response: response, requestWrite: s, stop: stop}
-		return &Response{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+		return &Response{
+			Status: response.StatusCode, Header: response.Header, Body: body, EndsWithConnection: closeDelimited(response),
+		}, nil
 	}
 	stop()
 	_ = c.Close()
