Honour the configuration's limits of idle connections and headers

Callers that reuse a connection within limits.idleTimeoutMs of the configuration could find it closed, and lose their request: the node closed connections after a constant minute, and refused headers above 64 KiB, whatever the configuration said. It now decodes limits.idleTimeoutMs, headerTimeoutMs and maxHeaderBytes and keeps to them; without them the former constants apply. A connection keeps a longer limit under which it became idle, and gets a longer one that comes into force while it waits.

TestCallerLimits failed before: 'idle timeout 1m0s, header timeout 10s; want 1m30s and 5s' and 'header of about 99000 bytes: status 431, error <nil>; want 404'. io/conns TestLimits covers a limit that rises while the connection waits, with fake time.

--- a/core/model/site.go
+++ b/core/model/site.go
@@ -70,6 +70,12 @@
 	Keys     map[KeyHash]AccountName
 	// MaxBody is the maximum size of a request body in bytes; zero means no limit.
 	MaxBody int64
+	// MaxHeader is the maximum size of the header of a request in bytes. IdleTimeout
+	// is how long callers may expect a connection without a request to stay open, and
+	// HeaderTimeout how long they may take to send a header. Zero means that the
+	// configuration sets none of them.
+	MaxHeader                  int64
+	IdleTimeout, HeaderTimeout time.Duration
 }
 
 // SiteRoute maps requests for a host and path prefix to services.
