Test the conditions under which a silent run is given up

TestRunGivenUpBySilence gets upstreams that are full or were unreachable a moment ago, and content that has crashed an upstream before; TestStaleSilence gets a report that is repeated after other upstreams have come; TestUpstreamLostAfterSilence has the upstream of the second run leave the registry before the silent attempt has ended. They pass on the present code.

--- a/core/serve/silence_test.go
+++ b/core/serve/silence_test.go
@@ -84,7 +84,13 @@
 		slack     float64
 		upstreams int
 		// brokenFirst is set if the silent attempt follows one whose connection broke.
-		brokenFirst      bool
+		brokenFirst bool
+		// crashedFirst is set if that upstream crashed, and avoided if no upstream
+		// could be reached a moment ago.
+		crashedFirst bool
+		avoided      bool
+		// full is set if no upstream has a free slot.
+		full             bool
 		begun, reachable bool
 		lastEvent        string
 		givenUp          bool
@@ -105,13 +111,24 @@
 		"one attempt":                     {path: "/silent/once/1", slack: slack, upstreams: 4, reachable: true},
 		"no attempt left":                 {path: "/silent/resume/1", slack: slack, upstreams: 4, brokenFirst: true, begun: true, lastEvent: "2"},
 		"attempt left":                    {path: "/silent/thrice/1", slack: slack, upstreams: 4, brokenFirst: true, begun: true, lastEvent: "2", givenUp: true},
+		"crashed before":                  {path: "/silent/thrice/1", slack: slack, upstreams: 4, brokenFirst: true, crashedFirst: true},
+		"other upstreams unreachable":     {path: "/silent/resume/1", slack: slack, upstreams: 4, avoided: true},
+		"other upstreams full":            {path: "/silent/resume/1", slack: slack, upstreams: 4, reachable: true, full: true},
 		"stream that cannot be resumed":   {path: "/stream/1", slack: slack, upstreams: 4, begun: true},
 		"send":                            {path: "/send/1", slack: slack, upstreams: 4},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newSilenceHarness(c.path, c.slack, c.upstreams)
 			if c.brokenFirst {
-				h.endAttempt(event.ForwardEnded{Outcome: model.Broken})
+				h.endAttempt(event.ForwardEnded{Outcome: model.Broken, Crashed: c.crashedFirst})
+			}
+			for _, u := range h.fleet.Upstreams() {
+				if c.avoided {
+					h.apply(event.AttemptJudged{Upstream: u.Name, Unreachable: true})
+				}
+				if c.full {
+					h.apply(event.UseChanged{Upstream: u.Name, Runs: u.Slots})
+				}
 			}
 			silent := *h.forward
 			h.fallSilent(c.begun, c.reachable, c.lastEvent)
@@ -212,6 +229,14 @@
 	if abandons(h, event.ForwardSilent{Attempt: 2, Report: 2}) || h.serve.Open() != 0 {
 		t.Error("a report after the end of the request has an effect")
 	}
+	alone := newSilenceHarness("/silent/thrice/1", 40, 1)
+	if abandons(alone, event.ForwardSilent{Attempt: 1, Report: 1}) {
+		t.Error("the run is given up at the only upstream")
+	}
+	alone.register(4, 4)
+	if abandons(alone, event.ForwardSilent{Attempt: 1, Report: 1}) {
+		t.Error("a repeated report has an effect once there are other upstreams")
+	}
 }
 
 // TestSilentEngine guards against a run that waits for a silent engine although another
@@ -246,3 +271,29 @@
 		})
 	}
 }
+
+// TestUpstreamLostAfterSilence guards against a run that is given up for another one that
+// does not start, because its upstream has left the registry by the end of the attempt.
+func TestUpstreamLostAfterSilence(t *testing.T) {
+	engines := newEngineHarness()
+	engines.apply(event.SiteArrived{Ticket: 1, Request: model.SiteRequest{
+		ID: "r", Host: "h", Path: "/twice/1", HasKey: true, KeyHash: key, PromptTokens: 9000, HasTokenCounts: true,
+		ArrivedAt: startTime, CallerDeadline: startTime.Add(time.Minute),
+	}})
+	engines.endAttempt(event.ForwardEnded{Outcome: model.Completed, Status: 200, Handle: "h1"})
+	for name, h := range map[string]*harness{"service": newSilenceHarness("/silent/resume/1", 40, 4), "engines": engines} {
+		t.Run(name, func(t *testing.T) {
+			silent := h.forward.Upstream.Name
+			h.reports = 1
+			h.apply(event.ForwardSilent{Ticket: 1, Attempt: h.forward.Attempt, Report: 1, Reachable: true})
+			if !h.abandoned {
+				t.Fatal("the run is not given up")
+			}
+			h.register(0, 9)
+			h.endAttempt(event.ForwardEnded{Outcome: model.Broken, Stalled: true})
+			if h.forward == nil || h.forward.Upstream.Name == silent || h.forward.Step != model.StepRun {
+				t.Fatalf("no second run: forward %+v, replies %+v", h.forward, h.replies)
+			}
+		})
+	}
+}
