Hold parts of prompts that crash the upstreams that begin to answer them

Callers saw 502 and engines of the whole fleet kept crashing while requests came that shared one part of their prompt, no two of them alike. Crashes were counted only by a fingerprint over the whole request, so none was counted twice. A counter by route, key or first part was ruled out: sound requests share these.

core/poison counts distinct crashes (name and incarnation of the upstream) by the ID of each shared part. A crash counts only if the answer had not got past its start, against the parts without a recent sound answer, or against all if all have one; then it counts after 0.8 s without another sound answer. A part with two such crashes is held: its requests are refused with the new reason CrashingPart, before dispatch, before the run that follows a prefill step, and before a repeat. One request is let through after 1 s, 10 s, 60 s and 10 minutes. Reports, summaries and announcements of their own carry the marks as a growing set with the remaining time.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -110,7 +110,7 @@
 
 // Next returns when the node needs a Tick, or the zero time if it needs none.
 func (s State) Next() time.Time {
-	return step.Earliest(s.feed.Next(), s.fleet.Next(), s.member.Next(), s.quota.Next(), s.usage.Next(), s.lease.Next(), s.scaler.Next())
+	return step.Earliest(s.feed.Next(), s.fleet.Next(), s.member.Next(), s.quota.Next(), s.usage.Next(), s.lease.Next(), s.scaler.Next(), s.serve.Next())
 }
 
 // Ready reports whether the node should receive requests.
@@ -152,6 +152,9 @@
 	case event.SummaryDue:
 		s, out = s.handleSummaryDue(in.At)
 		all = all.With(out)
+	case event.SuspicionsDue:
+		s, out = s.handleSuspicionsDue(e)
+		all = all.With(out)
 	case event.AnnounceArrived:
 		s.passOn(e.Report, &all)
 	case event.FeedAsked:
@@ -223,7 +226,9 @@
 		CellNodes:       nodes,
 		ZoneNodes:       zoneNodes,
 		ZoneRank:        zoneRank,
+		Node:            s.member.Self().Name,
 		Zone:            s.member.Self().Zone,
+		PassesNews:      s.member.IsRelay(),
 		Random:          in.Random,
 		At:              in.At,
 		RefusesRequests: s.draining && !in.At.Before(s.stopAcceptingAt),
--- a/core/edge/receivers.go
+++ b/core/edge/receivers.go
@@ -39,7 +39,7 @@
 		return toScaler
 	case event.AnnounceArrived:
 		return toFeed | toFleet | toQuota | toMember | toServe
-	case event.AnnounceDue, event.FeedAsked, event.SummaryDue, event.SyncDue, event.SyncAnswerDue:
+	case event.AnnounceDue, event.FeedAsked, event.SummaryDue, event.SyncDue, event.SyncAnswerDue, event.SuspicionsDue:
 		return 0
 	default:
 		return toAll
--- a/core/edge/report.go
+++ b/core/edge/report.go
@@ -69,6 +69,23 @@
 	return s, out
 }
 
+// handleSuspicionsDue tells the other nodes of the cell of suspected parts of prompts
+// and, as their relay, also the relays of the other cells.
+func (s State) handleSuspicionsDue(e event.SuspicionsDue) (State, Out) {
+	var out Out
+	self := s.member.Self()
+	if peers := s.member.Reachable(); len(peers) > 0 {
+		out.Emit(effect.Announce{Peers: peers, Report: model.Report{
+			Member: model.Member{Name: self.Name, Incarnation: self.Incarnation}, Seq: s.reportSeq, Suspicions: e.Suspicions,
+		}})
+	}
+	if s.member.IsRelay() {
+		s.reportSeq++
+		s.announceSummary(model.Report{Suspicions: e.Suspicions}, &out)
+	}
+	return s, out
+}
+
 // handleSummaryDue sends what changed in the cell to the relays of the other cells.
 func (s State) handleSummaryDue(at time.Time) (State, Out) {
 	var out Out
@@ -115,6 +132,7 @@
 		report.Admitted = s.quota.Totals(at)
 		report.Former = s.quota.EndedProcesses(to.Name, at)
 		report.Crashes = s.serve.Crashes()
+		report.Suspicions = s.serve.Suspicions(at)
 		report.Usage = s.usage.Counts()
 		report.Demand = s.scaler.Demand()
 		return report
@@ -124,6 +142,7 @@
 		report.Uses = s.fleet.CellUses()
 		report.Admitted = s.quota.CellTotals(at)
 		report.Crashes = s.serve.CellCrashes()
+		report.Suspicions = s.serve.Suspicions(at)
 		report.Usage = s.usage.CellCounts(s.cellKey())
 		report.Demand = s.scaler.CellDemand()
 	}
--- a/core/effect/site.go
+++ b/core/effect/site.go
@@ -16,12 +16,14 @@
 	Report int
 }
 
-// Believe reports a change in this node's view of its lease, peers or upstreams.
+// Believe reports a change in this node's view of its lease, peers or upstreams, or of
+// a part of a prompt.
 type Believe struct {
 	Belief model.Belief
-	// Subject is the name of the node or upstream.
+	// Subject is the name of the node or upstream, or the ID of the part of a prompt.
 	Subject string
-	// Number is the epoch of a lease or the incarnation of a process.
+	// Number is the epoch of a lease, the incarnation of a process or the number of
+	// crashes that count against a part of a prompt.
 	Number uint64
 }
 
@@ -40,6 +42,8 @@
 	// Retry has the inputs of the decision if the retry budget did not allow another
 	// attempt.
 	Retry model.RetryCheck
+	// Part is the ID of the part of the prompt if Reason is CrashingPart.
+	Part uint64
 }
 
 // Forward sends a request to an upstream.
--- a/core/event/announce.go
+++ b/core/event/announce.go
@@ -12,6 +12,9 @@
 	Unreachable []model.UpstreamName
 }
 
+// SuspicionsDue is raised when the peers have to be told of suspected parts of prompts.
+type SuspicionsDue struct{ Suspicions []model.PartSuspicion }
+
 // SummaryDue is raised when the relay of a cell has to send the other cells what
 // changed in its own.
 type SummaryDue struct{}
@@ -23,3 +26,4 @@
 func (AnnounceArrived) isEvent() {}
 func (AnnounceDue) isEvent()     {}
 func (SummaryDue) isEvent()      {}
+func (SuspicionsDue) isEvent()   {}
--- a/core/model/enums.go
+++ b/core/model/enums.go
@@ -85,6 +85,7 @@
 	ClaimTableFull
 	ClaimUnavailable
 	CrashSuspect
+	CrashingPart
 	DeadlineExceeded
 	Draining
 	EarlierOutcomeUnknown
--- a/core/model/enums_string.go
+++ b/core/model/enums_string.go
@@ -106,32 +106,33 @@
 	_ = x[ClaimTableFull-1]
 	_ = x[ClaimUnavailable-2]
 	_ = x[CrashSuspect-3]
-	_ = x[DeadlineExceeded-4]
-	_ = x[Draining-5]
-	_ = x[EarlierOutcomeUnknown-6]
-	_ = x[IdempotencyMismatch-7]
-	_ = x[Internal-8]
-	_ = x[KeyUnknown-9]
-	_ = x[KeyWasWithdrawn-10]
-	_ = x[MalformedRequest-11]
-	_ = x[MissingIdempotencyKey-12]
-	_ = x[MissingKey-13]
-	_ = x[ModelNotAllowed-14]
-	_ = x[NoUpstream-15]
-	_ = x[NotFresh-16]
-	_ = x[Overloaded-17]
-	_ = x[RateLimited-18]
-	_ = x[RetryBudgetSpent-19]
-	_ = x[StreamTruncated-20]
-	_ = x[UnknownModel-21]
-	_ = x[UnknownRoute-22]
-	_ = x[UpstreamFailed-23]
-	_ = x[UpstreamLost-24]
-}
-
-const _Reason_name = "BodyTooLargeClaimTableFullClaimUnavailableCrashSuspectDeadlineExceededDrainingEarlierOutcomeUnknownIdempotencyMismatchInternalKeyUnknownKeyWasWithdrawnMalformedRequestMissingIdempotencyKeyMissingKeyModelNotAllowedNoUpstreamNotFreshOverloadedRateLimitedRetryBudgetSpentStreamTruncatedUnknownModelUnknownRouteUpstreamFailedUpstreamLost"
-
-var _Reason_index = [...]uint16{0, 12, 26, 42, 54, 70, 78, 99, 118, 126, 136, 151, 167, 188, 198, 213, 223, 231, 241, 252, 268, 283, 295, 307, 321, 333}
+	_ = x[CrashingPart-4]
+	_ = x[DeadlineExceeded-5]
+	_ = x[Draining-6]
+	_ = x[EarlierOutcomeUnknown-7]
+	_ = x[IdempotencyMismatch-8]
+	_ = x[Internal-9]
+	_ = x[KeyUnknown-10]
+	_ = x[KeyWasWithdrawn-11]
+	_ = x[MalformedRequest-12]
+	_ = x[MissingIdempotencyKey-13]
+	_ = x[MissingKey-14]
+	_ = x[ModelNotAllowed-15]
+	_ = x[NoUpstream-16]
+	_ = x[NotFresh-17]
+	_ = x[Overloaded-18]
+	_ = x[RateLimited-19]
+	_ = x[RetryBudgetSpent-20]
+	_ = x[StreamTruncated-21]
+	_ = x[UnknownModel-22]
+	_ = x[UnknownRoute-23]
+	_ = x[UpstreamFailed-24]
+	_ = x[UpstreamLost-25]
+}
+
+const _Reason_name = "BodyTooLargeClaimTableFullClaimUnavailableCrashSuspectCrashingPartDeadlineExceededDrainingEarlierOutcomeUnknownIdempotencyMismatchInternalKeyUnknownKeyWasWithdrawnMalformedRequestMissingIdempotencyKeyMissingKeyModelNotAllowedNoUpstreamNotFreshOverloadedRateLimitedRetryBudgetSpentStreamTruncatedUnknownModelUnknownRouteUpstreamFailedUpstreamLost"
+
+var _Reason_index = [...]uint16{0, 12, 26, 42, 54, 66, 82, 90, 111, 130, 138, 148, 163, 179, 200, 210, 225, 235, 243, 253, 264, 280, 295, 307, 319, 333, 345}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/core/model/report.go
+++ b/core/model/report.go
@@ -41,6 +41,9 @@
 	Demand  []ServiceDemand
 	Crashes []CrashCount
 	Usage   []UsageCount
+	// Suspicions are the parts of prompts during whose requests upstreams crashed, as
+	// far as the sender knows.
+	Suspicions []PartSuspicion
 	// Changes are the role changes that the sender ordered recently.
 	Changes []RoleChange
 	// Unreachable are the upstreams that the sender recently could not reach.
--- a/core/model/site.go
+++ b/core/model/site.go
@@ -23,6 +23,12 @@
 	// UpstreamAvoided and UpstreamGone refer to an upstream.
 	UpstreamAvoided
 	UpstreamGone
+	// PartSuspected, PartHeld, PartTried and PartCleared refer to a part of a prompt
+	// during whose requests upstreams crashed.
+	PartSuspected
+	PartHeld
+	PartTried
+	PartCleared
 )
 
 // Repeat determines whether a request may be sent to a second upstream.
@@ -153,7 +159,10 @@
 // PromptPart is a segment of a prompt. Requests can have leading segments in
 // common.
 type PromptPart struct {
+	// Hash identifies the part with all parts before it, and ID the part alone. Zero
+	// means that the part has no identifier of its own.
 	Hash   uint64
+	ID     uint64
 	Tokens int
 }
 
--- a/core/model/site_string.go
+++ b/core/model/site_string.go
@@ -15,11 +15,15 @@
 	_ = x[PeerForgotten-4]
 	_ = x[UpstreamAvoided-5]
 	_ = x[UpstreamGone-6]
+	_ = x[PartSuspected-7]
+	_ = x[PartHeld-8]
+	_ = x[PartTried-9]
+	_ = x[PartCleared-10]
 }
 
-const _Belief_name = "LeaseGainedLeaseLostPeerMetPeerStoppedPeerForgottenUpstreamAvoidedUpstreamGone"
+const _Belief_name = "LeaseGainedLeaseLostPeerMetPeerStoppedPeerForgottenUpstreamAvoidedUpstreamGonePartSuspectedPartHeldPartTriedPartCleared"
 
-var _Belief_index = [...]uint8{0, 11, 20, 27, 38, 51, 66, 78}
+var _Belief_index = [...]uint8{0, 11, 20, 27, 38, 51, 66, 78, 91, 99, 108, 119}
 
 func (i Belief) String() string {
 	idx := int(i) - 0
--- /dev/null
+++ b/core/poison/merge.go
@@ -0,0 +1,175 @@
+package poison
+
+import (
+	"slices"
+	"time"
+
+	"caroblane/core/model"
+)
+
+// WithReport returns the state with what a peer knows. Whether the peers are told what
+// was new is decided by the caller. Marks form a growing set and expire by the
+// remaining time that the peer states, so nothing lasts longer because it is passed
+// on.
+func (s State) WithReport(list []model.PartSuspicion, at time.Time, passOn bool) State {
+	s = s.WithTime(at)
+	changed := s.changed
+	for _, p := range list {
+		if p.Part != 0 && p.Remaining > 0 {
+			s = s.withMarks(p.Part, p.Marks, p.Trials, at.Add(min(p.Remaining, Retention)), at)
+		}
+	}
+	if !passOn {
+		s.changed = changed
+	}
+	return s
+}
+
+// withMarks adds marks and trials of a part, if they are new.
+func (s State) withMarks(part uint64, marks []model.PartMark, trials int, expiresAt, at time.Time) State {
+	e, _ := s.suspects.Get(part)
+	e.part = part
+	var added []uint64
+	for _, m := range marks {
+		if m.State == model.MarkWeak && s.isExplained(part, m.Crash) {
+			m.State = model.MarkCleared
+		}
+		countsAt := at
+		if m.State == model.MarkWeak || s.sound.has(part, at) {
+			countsAt = at.Add(settleTime)
+		}
+		if next, isNew := e.withMark(mark{m.Crash, m.State, at, countsAt}); isNew {
+			e = next
+			added = append(added, m.Crash)
+		}
+	}
+	if len(added) == 0 && trials <= e.trials {
+		return s
+	}
+	if trials > e.trials {
+		e.trials, e.waitsFrom = trials, at
+	}
+	if expiresAt.After(e.expiresAt) {
+		e.expiresAt = expiresAt
+	}
+	s = s.withSuspect(e, at).withChanged(part)
+	return s.withExplained(part, added, at)
+}
+
+// isExplained reports whether a held part other than the given one explains a crash.
+func (s State) isExplained(part, crash uint64) bool {
+	for itr := s.held.Iterator(); !itr.Done(); {
+		name, _, _ := itr.Next()
+		e, _ := s.suspects.Get(name)
+		if i, found := e.find(crash); found && name != part && e.explains(e.marks[i]) {
+			return true
+		}
+	}
+	return false
+}
+
+// withExplained clears the weak marks of other parts for the crashes that a part
+// explains: those added now, and all others if it has just been held.
+func (s State) withExplained(part uint64, added []uint64, at time.Time) State {
+	e, _ := s.suspects.Get(part)
+	if !e.held {
+		return s
+	}
+	var crashes []uint64
+	for _, m := range e.marks {
+		if e.explains(m) && (e.heldAt.Equal(at) || slices.Contains(added, m.crash)) {
+			crashes = append(crashes, m.crash)
+		}
+	}
+	if len(crashes) == 0 {
+		return s
+	}
+	for itr := s.suspects.Iterator(); !itr.Done(); {
+		name, other, _ := itr.Next()
+		if name == part || other.open == 0 {
+			continue
+		}
+		var cleared []model.PartMark
+		for _, crash := range crashes {
+			if i, found := other.find(crash); found && other.marks[i].state == model.MarkWeak {
+				cleared = append(cleared, model.PartMark{Crash: crash, State: model.MarkCleared})
+			}
+		}
+		if len(cleared) > 0 {
+			s = s.withMarks(name, cleared, 0, other.expiresAt, at)
+		}
+	}
+	return s
+}
+
+// withChanged notes that the peers have to be told of a part. Beyond the limit, they
+// learn of it by the next full reports.
+func (s State) withChanged(part uint64) State {
+	if len(s.changed) < model.MaxPartSuspicions && !slices.Contains(s.changed, part) {
+		s.changed = append(s.changed[:len(s.changed):len(s.changed)], part)
+	}
+	return s
+}
+
+// Changed reports whether the peers have to be told of any part.
+func (s State) Changed() bool { return len(s.changed) > 0 }
+
+// TakeChanged returns what the peers have to be told, as far as it fits one
+// announcement, and the state without it.
+func (s State) TakeChanged(at time.Time) (State, []model.PartSuspicion) {
+	var list []model.PartSuspicion
+	marks := 0
+	for i, part := range s.changed {
+		e, found := s.suspects.Get(part)
+		if !found {
+			continue
+		}
+		marks += len(e.marks)
+		if len(list) == model.MaxAnnouncedSuspicions || marks > model.MaxAnnouncedMarks {
+			s.changed = s.changed[i:]
+			return s, list
+		}
+		list = append(list, e.suspicion(at))
+	}
+	s.changed = nil
+	return s, list
+}
+
+// TakeBeliefs returns the changes of which the operator has to be told, and the state
+// without them.
+func (s State) TakeBeliefs() (State, []model.PartBelief) {
+	beliefs := s.beliefs
+	s.beliefs = nil
+	return s, beliefs
+}
+
+// Report returns what is known of the parts, for a full report to peers: held parts
+// first, then those with the latest crashes.
+func (s State) Report(at time.Time) []model.PartSuspicion {
+	if s.suspects.Len() == 0 {
+		return nil
+	}
+	var list, others []model.PartSuspicion
+	itr := s.byExpiry.Iterator()
+	for itr.Last(); !itr.Done() && len(list) < model.MaxPartSuspicions; {
+		key, _, _ := itr.Prev()
+		e, _ := s.suspects.Get(key.part)
+		switch {
+		case !at.Before(e.expiresAt):
+		case e.held:
+			list = append(list, e.suspicion(at))
+		case len(others) < model.MaxPartSuspicions:
+			others = append(others, e.suspicion(at))
+		}
+	}
+	return append(list, others[:min(len(others), model.MaxPartSuspicions-len(list))]...)
+}
+
+// suspicion returns what is told of a part.
+func (e suspect) suspicion(at time.Time) model.PartSuspicion {
+	p := model.PartSuspicion{Part: e.part, Trials: e.trials, Remaining: e.expiresAt.Sub(at)}
+	for _, m := range e.marks {
+		p.Marks = append(p.Marks, model.PartMark{Crash: m.crash, State: m.state})
+	}
+	return p
+}
--- /dev/null
+++ b/core/poison/poison_test.go
@@ -0,0 +1,404 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"caroblane/core/model"
+)
+
+var startTime = time.Unix(1_800_000_000, 0)
+
+// parts returns prompt parts with the given IDs.
+func parts(ids ...uint64) []model.PromptPart {
+	var list []model.PromptPart
+	for _, id := range ids {
+		list = append(list, model.PromptPart{ID: id, Tokens: 100})
+	}
+	return list
+}
+
+// history is a state with the time that has passed.
+type history struct {
+	State
+	now time.Duration
+}
+
+func newHistory() *history { return &history{State: New()} }
+
+func (h *history) at() time.Time { return startTime.Add(h.now) }
+
+// wait lets time pass.
+func (h *history) wait(d time.Duration) {
+	h.now += d
+	h.State = h.WithTime(h.at())
+}
+
+func (h *history) crash(crash uint64, ids ...uint64) {
+	h.State = h.WithCrash(crash, parts(ids...), h.at())
+}
+
+// sound lets an answer begin now and get past its start.
+func (h *history) sound(ids ...uint64) {
+	begunAt := h.at()
+	h.wait(StartTime)
+	h.State = h.WithSound(parts(ids...), begunAt, h.at())
+}
+
+func (h *history) trial(ids ...uint64) { h.State = h.WithTrial(parts(ids...), h.at()) }
+
+// hear merges what another state knows.
+func (h *history) hear(other *history) {
+	h.State = h.WithReport(other.Report(other.at()), h.at(), false)
+}
+
+// held returns which of the parts 1 to 4 are held.
+func (h *history) held() string {
+	list := ""
+	for id := range uint64(4) {
+		if v := h.Verdict(parts(id+1), "n", h.at()); v.Part != 0 {
+			list += fmt.Sprint(id + 1)
+		}
+	}
+	return list
+}
+
+// TestHeldParts guards against a part that goes on crashing upstreams, and against
+// refusing requests for a part that did not cause the crashes. The part 1 is the first
+// one of many requests.
+func TestHeldParts(t *testing.T) {
+	for name, c := range map[string]struct {
+		steps func(h *history)
+		want  string
+	}{
+		"one crash":              {func(h *history) { h.crash(1, 1, 2) }, ""},
+		"two crashes":            {func(h *history) { h.crash(1, 2); h.crash(2, 2) }, "2"},
+		"one crash, two prompts": {func(h *history) { h.crash(1, 2); h.crash(1, 2) }, ""},
+		"different positions":    {func(h *history) { h.crash(1, 2, 3); h.crash(2, 4, 2) }, "2"},
+		"no own identifier":      {func(h *history) { h.crash(1, 0); h.crash(2, 0) }, ""},
+		"beside a sound part": {func(h *history) {
+			h.sound(1)
+			h.crash(1, 1, 2)
+			h.crash(2, 1, 2)
+			h.wait(time.Minute)
+		}, "2"},
+		"sound a long time ago": {func(h *history) {
+			h.sound(1)
+			h.wait(2 * soundPeriod)
+			h.crash(1, 1)
+			h.crash(2, 1)
+		}, "1"},
+		"sound just before, at once": {func(h *history) { h.sound(1); h.crash(1, 1); h.crash(2, 1) }, ""},
+		"sound just before, not since": {func(h *history) {
+			h.sound(1)
+			h.crash(1, 1)
+			h.crash(2, 1)
+			h.wait(settleTime)
+		}, "1"},
+		"sound before and since": {func(h *history) {
+			h.sound(1)
+			h.crash(1, 1)
+			h.crash(2, 1)
+			h.sound(1)
+			h.wait(settleTime)
+		}, ""},
+		"turns deadly beside a part that stays sound": {func(h *history) {
+			h.sound(1, 2)
+			h.crash(1, 1, 2)
+			h.crash(2, 1, 2)
+			h.sound(1, 3)
+			h.wait(settleTime)
+		}, "2"},
+		"answer begun before the crash": {func(h *history) {
+			begunAt := h.at()
+			h.wait(time.Millisecond)
+			h.crash(1, 2)
+			h.crash(2, 2)
+			h.State = h.WithSound(parts(2), begunAt, h.at())
+		}, "2"},
+		"sound since": {func(h *history) { h.crash(1, 2); h.crash(2, 2); h.sound(2) }, ""},
+		"sound between the crashes": {func(h *history) {
+			h.crash(1, 2)
+			h.sound(2)
+			h.crash(2, 2)
+			h.wait(settleTime)
+		}, ""},
+		"held part explains the crash": {func(h *history) {
+			h.crash(1, 2)
+			h.crash(2, 2)
+			h.crash(3, 3, 2)
+			h.crash(4, 3, 2)
+		}, "2"},
+		"bystander before the held part": {func(h *history) {
+			h.sound(1)
+			h.crash(1, 1)
+			h.crash(2, 1)
+			h.crash(1, 1, 2)
+			h.crash(2, 1, 2)
+			h.wait(time.Minute)
+		}, "2"},
+		"bystander after the held part": {func(h *history) {
+			h.sound(1)
+			h.crash(1, 2)
+			h.crash(2, 2)
+			h.crash(1, 1)
+			h.crash(2, 1)
+			h.wait(time.Minute)
+		}, "2"},
+		"two parts at once": {func(h *history) {
+			h.sound(1)
+			h.crash(1, 1, 2)
+			h.crash(2, 1, 3)
+			h.crash(3, 1, 2)
+			h.crash(4, 1, 3)
+		}, "23"},
+		"expired": {func(h *history) { h.crash(1, 2); h.crash(2, 2); h.wait(Retention) }, ""},
+		"seen by another node": {func(h *history) {
+			other := newHistory()
+			other.crash(1, 2)
+			other.crash(2, 2)
+			h.hear(other)
+		}, "2"},
+		"seen by two nodes": {func(h *history) {
+			for range 2 {
+				other := newHistory()
+				other.crash(1, 2)
+				h.hear(other)
+				h.hear(other)
+			}
+		}, ""},
+		"each node saw one": {func(h *history) {
+			other := newHistory()
+			other.crash(1, 2)
+			h.crash(2, 2)
+			h.hear(other)
+		}, "2"},
+		"cleared at another node": {func(h *history) {
+			other := newHistory()
+			h.crash(1, 2)
+			h.crash(2, 2)
+			other.hear(h)
+			other.sound(2)
+			h.hear(other)
+		}, ""},
+		"an old report after the clearing": {func(h *history) {
+			other := newHistory()
+			other.crash(1, 2)
+			other.crash(2, 2)
+			h.hear(other)
+			h.sound(2)
+			h.hear(other)
+		}, ""},
+		"sound here, seen crashing elsewhere": {func(h *history) {
+			other := newHistory()
+			other.crash(1, 1)
+			other.crash(2, 1)
+			h.sound(1)
+			h.hear(other)
+			h.sound(1)
+			h.wait(settleTime)
+		}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHistory()
+			c.steps(h)
+			if got := h.held(); got != c.want {
+				t.Errorf("held parts %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+// TestTrials guards against verdicts that are never tried again, against trials that
+// come faster and faster or at several nodes at once, and against callers who are
+// invited back at once.
+func TestTrials(t *testing.T) {
+	h := newHistory()
+	h.crash(1, 2)
+	h.crash(2, 2)
+	for trial, wait := range trialWaits {
+		v := h.Verdict(parts(1, 2), "n", h.at())
+		if v.TrialDue || v.Part != 2 {
+			t.Fatalf("trial %d: verdict %+v at once, want part 2 held", trial, v)
+		}
+		after := v.RetryAt.Sub(h.at())
+		if after < wait || after > wait*3/2 {
+			t.Fatalf("trial %d is due after %v, want %v to %v", trial, after, wait, wait*3/2)
+		}
+		other := newHistory()
+		other.hear(h)
+		if v := other.Verdict(parts(2), "m", other.at()); v.RetryAt.Equal(startTime.Add(after)) {
+			t.Errorf("trial %d is due at the same time at two nodes", trial)
+		}
+		if trial == len(trialWaits)-1 {
+			break
+		}
+		h.wait(after)
+		if v := h.Verdict(parts(1, 2), "n", h.at()); !v.TrialDue || v.RetryAt.Sub(h.at()) < minRetryDelay {
+			t.Fatalf("trial %d: verdict %+v, want a trial and a wait of at least %v", trial, v, minRetryDelay)
+		}
+		h.trial(1, 2)
+		h.crash(uint64(10+trial), 1, 2)
+	}
+	if h.held() != "2" {
+		t.Errorf("held parts %q, want 2", h.held())
+	}
+	h.wait(Retention)
+	if h.held() != "" || h.suspects.Len() != 0 {
+		t.Errorf("held parts %q after the retention", h.held())
+	}
+}
+
+// TestTrialOfAnotherNode guards against a trial by each of the nodes.
+func TestTrialOfAnotherNode(t *testing.T) {
+	h, other := newHistory(), newHistory()
+	h.crash(1, 2)
+	h.crash(2, 2)
+	other.hear(h)
+	for _, node := range []*history{h, other} {
+		node.wait(2 * time.Second)
+		if !node.Verdict(parts(2), "n", node.at()).TrialDue {
+			t.Fatal("no trial after 2 s")
+		}
+	}
+	other.trial(2)
+	h.hear(other)
+	if v := h.Verdict(parts(2), "n", h.at()); v.TrialDue || v.RetryAt.Sub(h.at()) < trialWaits[1] {
+		t.Errorf("verdict %+v after the trial of another node, want a wait of %v", v, trialWaits[1])
+	}
+	other.sound(2)
+	h.hear(other)
+	if h.held() != "" {
+		t.Error("held after a sound trial of another node")
+	}
+	h.crash(3, 2)
+	h.crash(4, 2)
+	h.wait(settleTime)
+	if v := h.Verdict(parts(2), "n", h.at()); v.Part != 2 || v.RetryAt.Sub(h.at()) > 3*trialWaits[0]/2 {
+		t.Errorf("verdict %+v, want the first wait again after a sound trial", v)
+	}
+}
+
+// TestRetentionDoesNotCreep guards against nodes that keep a part alive by telling each
+// other of it.
+func TestRetentionDoesNotCreep(t *testing.T) {
+	nodes := []*history{newHistory(), newHistory(), newHistory()}
+	nodes[0].crash(1, 2)
+	nodes[0].crash(2, 2)
+	for passed := time.Duration(0); passed < Retention+time.Second; passed += 300 * time.Millisecond {
+		for i, n := range nodes {
+			n.wait(300 * time.Millisecond)
+			next := nodes[(i+1)%len(nodes)]
+			next.hear(n)
+		}
+	}
+	for i, n := range nodes {
+		if n.held() != "" {
+			t.Errorf("node %d holds the part %v after the crashes", i, n.now)
+		}
+	}
+}
+
+// TestCaps guards against tables and messages without bounds, and against nodes that
+// keep different crashes of a part of which there are too many.
+func TestCaps(t *testing.T) {
+	h := newHistory()
+	h.crash(1, 2)
+	h.crash(2, 2)
+	for i := range uint64(maxSuspects + 10) {
+		h.wait(time.Microsecond)
+		h.crash(1000+i, 100+i)
+	}
+	if got := h.suspects.Len(); got != maxSuspects {
+		t.Errorf("%d suspected parts, want %d", got, maxSuspects)
+	}
+	if h.held() != "2" {
+		t.Error("the held part was evicted for parts with one crash")
+	}
+	report := h.Report(h.at())
+	if len(report) != model.MaxPartSuspicions || report[0].Part != 2 {
+		t.Errorf("report of %d parts begins with %+v, want %d and the held part", len(report), report[0], model.MaxPartSuspicions)
+	}
+	if h.open != maxSuspects || h.byExpiry.Len() != maxSuspects || h.State.held.Len() != 1 {
+		t.Errorf("indexes hold %d, %d and %d parts", h.open, h.byExpiry.Len(), h.State.held.Len())
+	}
+	for sent := 0; h.Changed(); sent++ {
+		var list []model.PartSuspicion
+		h.State, list = h.TakeChanged(h.at())
+		if len(list) == 0 || len(list) > model.MaxAnnouncedSuspicions || sent > model.MaxPartSuspicions {
+			t.Fatalf("announcement %d has %d parts", sent, len(list))
+		}
+	}
+	a, b := newHistory(), newHistory()
+	for i := range uint64(2 * model.MaxPartMarks) {
+		a.crash(i+1, 2)
+		b.crash(2*model.MaxPartMarks-i, 2)
+	}
+	ea, _ := a.suspects.Get(2)
+	eb, _ := b.suspects.Get(2)
+	if len(ea.marks) != model.MaxPartMarks || len(eb.marks) != model.MaxPartMarks {
+		t.Fatalf("%d and %d marks, want %d", len(ea.marks), len(eb.marks), model.MaxPartMarks)
+	}
+	for i := range ea.marks {
+		if ea.marks[i].crash != eb.marks[i].crash {
+			t.Fatalf("mark %d is of crash %d at one node and %d at the other", i, ea.marks[i].crash, eb.marks[i].crash)
+		}
+	}
+	a.sound(2)
+	a.crash(500, 2)
+	a.crash(501, 2)
+	a.wait(settleTime)
+	if a.held() != "2" {
+		t.Error("cleared marks keep out new ones")
+	}
+	p := newSoundParts()
+	for i := range uint64(5 * maxSoundParts) {
+		p = p.with(i+1, startTime)
+	}
+	if got := p.latest.Len() + p.earlier.Len(); got > 2*maxSoundParts {
+		t.Errorf("%d sound parts, want at most %d", got, 2*maxSoundParts)
+	}
+}
+
+// TestBeliefs guards against changes of belief without a log line, and against several
+// lines for one change.
+func TestBeliefs(t *testing.T) {
+	h := newHistory()
+	h.crash(1, 2)
+	h.crash(1, 2)
+	h.crash(2, 2)
+	h.wait(2 * time.Second)
+	h.trial(2)
+	h.sound(2)
+	want := []model.PartBelief{
+		{Belief: model.PartSuspected, Part: 2, Crashes: 1},
+		{Belief: model.PartHeld, Part: 2, Crashes: 2},
+		{Belief: model.PartTried, Part: 2, Crashes: 2},
+		{Belief: model.PartCleared, Part: 2},
+	}
+	var got []model.PartBelief
+	h.State, got = h.TakeBeliefs()
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("beliefs %v, want %v", got, want)
+	}
+}
+
+// BenchmarkSound measures what one completed request with three shared parts costs, of
+// which one is new, while another part is held.
+func BenchmarkSound(b *testing.B) {
+	h := newHistory()
+	h.crash(1, 1<<40)
+	h.crash(2, 1<<40)
+	i := uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		i++
+		at := startTime.Add(time.Duration(i) * 10 * time.Millisecond)
+		request := [...]model.PromptPart{{ID: 1}, {ID: i%5000 + 10}, {ID: 2}}
+		if v := h.Verdict(request[:], "n", at); v.Part != 0 {
+			b.Fatal("held")
+		}
+		h.State = h.WithSound(request[:], at, at)
+	}
+}
--- a/core/serve/admit.go
+++ b/core/serve/admit.go
@@ -30,6 +30,9 @@
 	if s.crashes.Verdict(request.Fingerprint, facts.At) != crash.Normal {
 		return s.decline(e.Ticket, model.CrashSuspect, time.Time{}, out)
 	}
+	if verdict := s.verdict(&request, facts); verdict.Part != 0 && !verdict.TrialDue {
+		return s.declineHeld(e.Ticket, verdict, out)
+	}
 	req.units = req.account.Cost(request)
 	s.retries = s.retries.Set(req.service.Name, s.budget(req.service.Name, facts).WithRequest(facts.At))
 	s.open = s.open.Set(e.Ticket, req)
--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -35,6 +35,9 @@
 	if s.crashes.Verdict(req.received.Fingerprint, facts.At) != crash.Normal {
 		return s.fail(ticket, req, model.CrashSuspect, facts, out)
 	}
+	if verdict := s.verdict(req.received, facts); verdict.Part != 0 && !req.trial {
+		return s.dispatchHeld(ticket, req, verdict, facts, out)
+	}
 	if req.service.Engine {
 		return s.dispatchToEngine(ticket, req, facts, out)
 	}
@@ -155,7 +158,7 @@
 
 // handleForwardBegan records that an upstream has begun to run a request. Its
 // prompt no longer counts as pending there.
-func (s State) handleForwardBegan(e event.ForwardBegan, out *Out) State {
+func (s State) handleForwardBegan(e event.ForwardBegan, facts Facts, out *Out) State {
 	req, found := s.open.Get(e.Ticket)
 	if !found || !req.running || e.Attempt != req.attempt || req.step != model.StepRun {
 		return s
@@ -164,6 +167,7 @@
 		out.Raise(event.UseChanged{Upstream: req.upstream.Name, Prompt: -req.load.Prompt})
 		req.load.Prompt = 0
 	}
+	s, req = s.withStart(e.Ticket, req, facts.At)
 	s.open = s.open.Set(e.Ticket, s.countRun(req, out))
 	return s
 }
@@ -192,6 +196,7 @@
 	if e.Crashed {
 		s.crashes = s.crashes.WithCrash([]uint64{req.received.Fingerprint}, facts.At)
 	}
+	s, req = s.withRunEnd(req, e, facts.At)
 	req.responseStarted = req.responseStarted || e.Passed
 	if e.LastEvent != "" {
 		req.lastEvent = e.LastEvent
@@ -351,7 +356,9 @@
 		out.Raise(event.QuotaReturned{Account: req.account.Name, Units: req.units})
 	}
 	out.Emit(
-		effect.Decline{Ticket: ticket, Reason: reason, Execution: execution, RetryAt: retryAt, Retry: req.retryCheck},
+		effect.Decline{
+			Ticket: ticket, Reason: reason, Execution: execution, RetryAt: retryAt, Retry: req.retryCheck, Part: req.heldPart,
+		},
 		effect.CountRefusal{Reason: reason},
 	)
 	return s.remove(ticket, req, out)
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -12,6 +12,7 @@
 	"caroblane/core/event"
 	"caroblane/core/fleet"
 	"caroblane/core/model"
+	"caroblane/core/poison"
 	"caroblane/core/retry"
 	"caroblane/core/site"
 	"caroblane/core/step"
@@ -45,8 +46,11 @@
 	Nodes               int
 	CellNodes, Rank     int
 	ZoneNodes, ZoneRank int
-	// Zone is the availability zone of this node.
+	// Node is the name of this node, and Zone its availability zone.
+	Node model.NodeName
 	Zone model.ZoneName
+	// PassesNews is set if this node tells other nodes what it learns from its peers.
+	PassesNews bool
 	// Random is a random number drawn for this event.
 	Random uint64
 	At     time.Time
@@ -120,15 +124,28 @@
 	// retryCheck is set if the retry budget did not allow another attempt.
 	retryCheck model.RetryCheck
 	silence    silence
+	// begunAt is when the answer of the running attempt began, or zero, and pastStart
+	// is set once it has got past its start.
+	begunAt   time.Time
+	pastStart bool
+	// trial is set if the request runs although a part of its prompt is held.
+	trial bool
+	// heldPart is the ID of the part of the prompt for which the request is refused.
+	heldPart uint64
 }
 
-// State holds the open requests of this node, its crash counts and its retry
-// budgets.
+// State holds the open requests of this node, its crash counts, the suspected parts of
+// prompts and the retry budgets.
 type State struct {
 	bounds  model.Bounds
 	open    *immutable.Map[model.Ticket, openRequest]
 	crashes crash.State
-	retries *immutable.SortedMap[model.ServiceName, retry.Budget]
+	poison  poison.State
+	// starts are the answers that have begun, in this order.
+	starts fifo[start]
+	// announceAt is when the peers have to be told of suspected parts, or zero.
+	announceAt time.Time
+	retries    *immutable.SortedMap[model.ServiceName, retry.Budget]
 }
 
 // New returns a state without open requests.
@@ -137,14 +154,16 @@
 		bounds:  bounds,
 		open:    immutable.NewMap[model.Ticket, openRequest](ticketHasher{}),
 		crashes: crash.New(),
+		poison:  poison.New(),
 		retries: immutable.NewSortedMap[model.ServiceName, retry.Budget](nil),
 	}
 }
 
 // Apply processes arriving requests, the decisions about their quota, the ends of
-// their attempts, and the crash counts of peers.
+// their attempts, and the crash counts and suspicions of peers.
 func (s State) Apply(in step.Input[event.Event], facts Facts) (State, Out) {
 	var out Out
+	s = s.withTime(in.At)
 	switch e := in.Event.(type) {
 	case event.SettingsChanged:
 		s.bounds = e.Bounds
@@ -155,7 +174,7 @@
 	case event.QuotaRefused:
 		s = s.handleQuotaRefused(e, &out)
 	case event.ForwardBegan:
-		s = s.handleForwardBegan(e, &out)
+		s = s.handleForwardBegan(e, facts, &out)
 	case event.ForwardEnded:
 		s = s.handleForwardEnded(e, facts, &out)
 	case event.ForwardSilent:
@@ -163,19 +182,24 @@
 	case event.CallerGone:
 		s = s.handleCallerGone(e.Ticket, &out)
 	case event.SyncAnswered:
-		s = s.handleReport(e.Report, in.At)
+		s = s.handleReport(e.Report, facts)
 	case event.SyncArrived:
-		s = s.handleReport(e.Report, in.At)
+		s = s.handleReport(e.Report, facts)
 	case event.AnnounceArrived:
-		s = s.handleReport(e.Report, in.At)
+		s = s.handleReport(e.Report, facts)
+	case event.Tick:
+		s.poison = s.poison.WithTime(in.At)
 	}
-	return s, out
+	return s.withNews(in.At, &out), out
 }
 
-// handleReport adds the crash counts of a peer or of another cell.
-func (s State) handleReport(r model.Report, at time.Time) State {
+// handleReport adds the crash counts and the suspicions of a peer or of another cell.
+func (s State) handleReport(r model.Report, facts Facts) State {
 	if len(r.Crashes) > 0 {
-		s.crashes = s.crashes.WithPeer(r.Source(), r.Crashes, at)
+		s.crashes = s.crashes.WithPeer(r.Source(), r.Crashes, facts.At)
+	}
+	if len(r.Suspicions) > 0 {
+		s.poison = s.poison.WithReport(r.Suspicions, facts.At, facts.PassesNews)
 	}
 	return s
 }
--- a/io/link/report.go
+++ b/io/link/report.go
@@ -90,6 +90,9 @@
 			Window: model.Window(c.GetWindow()), Account: model.AccountName(c.GetAccount()), Count: int(c.GetCount()),
 		})
 	}
+	for _, p := range w.GetSuspicions() {
+		r.Suspicions = append(r.Suspicions, decodeSuspicion(p))
+	}
 	for _, m := range w.GetOthers() {
 		r.Others = append(r.Others, decodeMember(m))
 	}
@@ -142,6 +145,9 @@
 			Window: int64(c.Window), Account: string(c.Account), Count: uint32(c.Count),
 		})
 	}
+	for _, p := range r.Suspicions {
+		w.Suspicions = append(w.Suspicions, encodeSuspicion(p))
+	}
 	for _, m := range r.Others {
 		w.Others = append(w.Others, encodeMember(m))
 	}
