Skip single stored entries that cannot be used

Another writer could leave one odd entry among those of the upstreams in the store, and the nodes then had no list at all or followed it no longer.

Cause: a page of a list or a watch was decoded as one JSON value. A revision that does not fit, metadata of another type or nesting beyond the 10,000 levels of encoding/json in one entry was an error of the whole page, which was read again every 200 ms. A last name that cannot be read began the list again from the start, without an end and with growing memory. Registrations with port 0, an unspecified address, names of any length, bytes that are not UTF-8, fields given twice or slots were accepted.

Ruled out: panics in the decoding, and an odd entry that makes later good ones fail once the page is decoded.

Before: TestOddEntries fails with "listed false {Revision:0 Upstreams:[]}, want a and c" for 12 entries (no list at all) and "listed true" with the odd one among the upstreams for 16; the other 19 were skipped but not counted.

--- a/core/model/config.go
+++ b/core/model/config.go
@@ -1,6 +1,9 @@
 package model
 
-import "slices"
+import (
+	"net/netip"
+	"slices"
+)
 
 // Change is one write of a configuration object.
 type Change struct {
@@ -103,6 +106,19 @@
 	Incarnation Incarnation
 }
 
+// MaxSlots limits Upstream.Slots: a process takes in no more requests at once from one
+// address, for want of ports.
+const MaxSlots = 1 << 16
+
+// Valid reports whether an upstream that registered itself can get requests: it has an
+// IP address with a port, slots within MaxSlots, and known values of its enums.
+func (u Upstream) Valid() bool {
+	address, err := netip.ParseAddrPort(u.Address)
+	return err == nil && address.Port() != 0 && address.Addr().Zone() == "" && !address.Addr().IsUnspecified() &&
+		!address.Addr().IsMulticast() && u.Name != "" && u.Service != "" && u.Slots > 0 && u.Slots <= MaxSlots &&
+		u.Kind <= UpstreamPlain && u.Role <= RoleDecode && u.State <= UpstreamWithdrawn
+}
+
 // In returns the template with Rate and Burst reduced to the share of a region.
 func (t Template) In(region RegionName) Template {
 	if len(t.RegionShares) == 0 {
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -55,6 +55,7 @@
 	aborts         map[model.AbortReason]prometheus.Counter
 	firstTokenTime prometheus.Histogram
 	tokenInterval  prometheus.Histogram
+	ignoredObjects prometheus.Counter
 	events         typeCounter
 	effects        typeCounter
 }
@@ -69,6 +70,10 @@
 	m.retries = initCounters(retries, model.RetryReasons())
 	aborts := m.newCounters("caroblane_aborted_responses_total", "Caller connections that ended without a complete response.", "reason")
 	m.aborts = initCounters(aborts, model.AbortReasons())
+	m.ignoredObjects = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "caroblane_ignored_objects_total", Help: "Reads of stored objects that cannot be used.",
+	})
+	m.registry.MustRegister(m.ignoredObjects)
 	m.events.vector = m.newCounters("caroblane_control_events_total", "Events applied by the control loop.", "event")
 	m.effects.vector = m.newCounters("caroblane_control_effects_total", "Effects emitted by the control loop.", "effect")
 	// The targets at the 95th percentile are 0.45 s for the first token and 51 ms
@@ -94,6 +99,9 @@
 // CountEffect counts an effect by its type.
 func (m *Metrics) CountEffect(e effect.Effect) { m.effects.count(e) }
 
+// CountIgnoredObject counts a read of a stored object that cannot be used.
+func (m *Metrics) CountIgnoredObject() { m.ignoredObjects.Inc() }
+
 // CountEvent counts an event by its type.
 func (m *Metrics) CountEvent(e event.Event) { m.events.count(e) }
 
