Leave out relayed upstreams with impossible values

A node that takes the list of upstreams from a peer used whatever the peer had read, and numbers beyond 32 bits changed on the way: 5,000,000,000 runs arrived as 705,032,704, and the conversion of a fractional number that does not fit depends on the processor.

Now upstreams of a feed are checked like those that are read from the store, and numbers that do not fit their field are sent as the nearest that does.

TestExtremeValues of core/fleet passes without a change: extreme values in entries and reports neither end the process nor stay after the next report.

--- a/io/link/feed.go
+++ b/io/link/feed.go
@@ -59,13 +59,14 @@
 	for _, u := range f.Upstreams {
 		w.Upstreams = append(w.Upstreams, &wire.Upstream{
 			Name: string(u.Name), Kind: uint32(u.Kind), Address: u.Address, Zone: string(u.Zone), Role: uint32(u.Role),
-			State: uint32(u.State), Cheap: u.Cheap, ChecksEpoch: u.ChecksEpoch, Slots: uint32(u.Slots),
+			State: uint32(u.State), Cheap: u.Cheap, ChecksEpoch: u.ChecksEpoch, Slots: saturate(u.Slots),
 			Service: string(u.Service), Incarnation: uint64(u.Incarnation),
 		})
 	}
 	return w
 }
 
+// decodeFeed decodes a feed. It leaves out upstreams that cannot get requests.
 func decodeFeed(w *wire.FeedResponse) model.Feed {
 	f := model.Feed{
 		Revision:         model.Version(w.GetRevision()),
@@ -77,12 +78,15 @@
 		HasUpstreams:     w.GetHasUpstreams(),
 	}
 	for _, u := range w.GetUpstreams() {
-		f.Upstreams = append(f.Upstreams, model.Upstream{
+		upstream := model.Upstream{
 			Name: model.UpstreamName(u.GetName()), Kind: model.UpstreamKind(u.GetKind()), Address: u.GetAddress(),
 			Zone: model.ZoneName(u.GetZone()), Role: model.Role(u.GetRole()), State: model.UpstreamState(u.GetState()),
 			Cheap: u.GetCheap(), ChecksEpoch: u.GetChecksEpoch(), Slots: int(u.GetSlots()),
 			Service: model.ServiceName(u.GetService()), Incarnation: model.Incarnation(u.GetIncarnation()),
-		})
+		}
+		if upstream.Valid() {
+			f.Upstreams = append(f.Upstreams, upstream)
+		}
 	}
 	return f
 }
--- a/io/link/report.go
+++ b/io/link/report.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"math"
 	"time"
 
 	"caroblane/core/model"
@@ -103,7 +104,7 @@
 	w := &wire.Report{
 		Member:         encodeMember(r.Member),
 		Seq:            r.Seq,
-		Nodes:          uint32(r.Nodes),
+		Nodes:          saturate(r.Nodes),
 		Registry:       r.Registry,
 		InContact:      r.InContact,
 		Site:           uint64(r.Site),
@@ -118,14 +119,14 @@
 	}
 	for _, u := range r.Uses {
 		w.Uses = append(w.Uses, &wire.UpstreamUse{
-			Upstream: string(u.Upstream), Prompt: uint32(u.Prompt), Runs: uint32(u.Runs),
+			Upstream: string(u.Upstream), Prompt: saturate(u.Prompt), Runs: saturate(u.Runs),
 		})
 	}
 	for _, d := range r.Demand {
 		w.Demand = append(w.Demand, &wire.ServiceDemand{Service: string(d.Service), Prompt: d.Prompt, Output: d.Output})
 	}
 	for _, p := range r.Prompts {
-		w.Prompts = append(w.Prompts, &wire.PromptPlaced{Upstream: string(p.Upstream), Key: p.PrefixHash, Tokens: uint32(p.Tokens)})
+		w.Prompts = append(w.Prompts, &wire.PromptPlaced{Upstream: string(p.Upstream), Key: p.PrefixHash, Tokens: saturate(p.Tokens)})
 	}
 	for _, name := range r.Unreachable {
 		w.Unreachable = append(w.Unreachable, string(name))
@@ -137,12 +138,12 @@
 	}
 	for _, c := range r.Changes {
 		w.Changes = append(w.Changes, &wire.RoleChange{
-			Upstream: string(c.Upstream), To: uint32(c.To), LeftMillis: uint32(max(0, c.Remaining.Milliseconds())),
+			Upstream: string(c.Upstream), To: uint32(c.To), LeftMillis: saturate(c.Remaining.Milliseconds()),
 		})
 	}
 	for _, c := range r.Usage {
 		w.Usage = append(w.Usage, &wire.UsageCount{
-			Window: int64(c.Window), Account: string(c.Account), Count: uint32(c.Count),
+			Window: int64(c.Window), Account: string(c.Account), Count: saturate(c.Count),
 		})
 	}
 	for _, p := range r.Suspicions {
@@ -153,3 +154,16 @@
 	}
 	return w
 }
+
+// saturate returns the number that is nearest to n and fits a message field. The
+// conversion of a number that does not fit depends on the processor.
+func saturate[N int | int64 | float64](n N) uint32 {
+	switch {
+	case n > 0 && float64(n) < math.MaxUint32:
+		return uint32(n)
+	case n > 0:
+		return math.MaxUint32
+	default:
+		return 0
+	}
+}
