Take no repeated refusal for the answer to another request

A faulty upstream wrote an earlier refusal once more on a kept connection, and callers were told that a request did not run, or it ran at a second upstream, although the first upstream ran it.

Causes, each shown by a test: - A connection was reused after a response to another request was skipped on it. - A connection carried two requests of the same ID (a caller sends its request again under the ID that it had). A late refusal of the first one matched the second one. - A refusal that breaks off within a line of its head was completed by the head of the next response. It then had the status and the Not-Executed field of the one and the ID of the other. Of several IDs only the first was compared. - A refusal was relied on if its body was cut off, or if another response was on the connection before or after it. - Reports, orders and releases of KV caches carry no ID, so any late response on a kept connection was taken for their answer.

Now a connection on which a refusal, a response to another request, or a response before the end of the request was received is not reused, and one carries no two requests of the same ID (hashes of at most 128 IDs, then it is closed). Since no connection is kept after a refusal, an upstream cannot write one again on the connection that had it, under any ID.

--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -14,6 +14,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,6 +22,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
 )
 
@@ -44,6 +46,9 @@
 	// maxResponses is the maximum number of responses read for a request. Interim
 	// responses and responses to other requests are skipped.
 	maxResponses = 4
+	// maxRequests is the number of requests after which a connection is closed. It
+	// limits the memory for their IDs.
+	maxRequests = 128
 )
 
 // Errors is the error namespace of this package.
@@ -82,6 +87,10 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// ID identifies the request in its responses, if it has one. A connection carries
+	// no two requests with the same ID, since Matches could not tell a late response
+	// to the first one from the response to the second one.
+	ID string
 	// Matches reports whether a response with the given headers belongs to the
 	// request. Other responses are skipped. If nil, the first one is taken.
 	Matches func(http.Header) bool
@@ -89,17 +98,6 @@
 	NewConnection bool
 }
 
-// Response is the response of an upstream. The caller must close the body.
-type Response struct {
-	Status int
-	Header http.Header
-	Body   io.ReadCloser
-	// EndsWithConnection is set if the response has neither a length nor chunks. The
-	// end of its connection then ends the body, so a body that the upstream broke off
-	// by closing the connection cannot be told from a complete one.
-	EndsWithConnection bool
-}
-
 // Pool sends requests and keeps idle connections for reuse.
 type Pool struct {
 	options Options
@@ -116,6 +114,12 @@
 	received      *limitedReader
 	reader        *bufio.Reader
 	reusableUntil time.Time
+	// carried are the hashes of the IDs of its requests.
+	carried []uint64
+	// unexpected is set if a response to another request was received while the
+	// connection waited for one, and spent if the connection must not be reused.
+	unexpected bool
+	spent      bool
 }
 
 // limitedReader reads from a connection until a number of bytes has been read.
@@ -219,7 +223,7 @@
 		if c == nil {
 			break
 		}
-		if p.options.Now().Before(c.reusableUntil) && c.usable() {
+		if p.options.Now().Before(c.reusableUntil) && !slices.Contains(c.carried, r.key()) && c.usable() {
 			return c, true, nil
 		}
 		_ = c.Close()
@@ -277,20 +281,28 @@
 
 // usable reports whether an idle connection is still open and has no unread data.
 func (c *conn) usable() bool {
+	_, err := c.peek()
+	return c.reader.Buffered() == 0 && errors.Is(err, syscall.EAGAIN)
+}
+
+// peek returns the number of unread bytes, at most one, without waiting for them. The
+// error is EAGAIN if there are none and the connection is open.
+func (c *conn) peek() (n int, err error) {
 	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
-	if err != nil || c.reader.Buffered() > 0 {
-		return false
+	if err != nil {
+		return 0, err
 	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
+	readErr := raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
 	})
-	return quiet && err == nil
+	return max(0, n), errors.Join(readErr, err)
 }
 
+// key returns the hash under which a connection remembers the request.
+func (r Request) key() uint64 { return xxhash.Sum64String(r.ID) }
+
 // requestWrite is the state of writing a request, which may be concurrent with
 // reading the response.
 type requestWrite struct {
@@ -302,6 +314,9 @@
 // roundTrip sends a request on a connection and reads the response headers.
 func (p *Pool) roundTrip(ctx context.Context, c *conn, r Request, head []byte) (*Response, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	if r.ID != "" {
+		c.carried = append(c.carried, r.key())
+	}
 	s := &requestWrite{done: make(chan struct{})}
 	if len(r.Body) <= maxInlineBody {
 		s.write(c, append(head, r.Body...))
@@ -310,9 +325,16 @@
 	}
 	response, err := c.readResponse(r) //nolint:bodyclose // The body of Response closes it.
 	if err == nil {
+		select {
+		case <-s.done:
+		default:
+			// The upstream may not read the rest of the request.
+			c.spent = true
+		}
 		body := &body{pool: p, conn: c, request: r, response: response, requestWrite: s, stop: stop}
 		return &Response{
-			Status: response.StatusCode, Header: response.Header, Body: body, EndsWithConnection: closeDelimited(response),
+			Status: response.StatusCode, Header: response.Header, Body: body, body: body,
+			EndsWithConnection: closeDelimited(response),
 		}, nil
 	}
 	stop()
@@ -330,91 +352,3 @@
 	s.err = err
 	close(s.done)
 }
-
-// readResponse reads the response to the request. It skips interim responses and
-// late responses to earlier requests.
-func (c *conn) readResponse(r Request) (*http.Response, error) {
-	for range maxResponses {
-		c.received.left = maxHeadBytes
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		if err != nil {
-			return nil, err
-		}
-		c.received.left = math.MaxInt64
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
-			continue
-		}
-		if r.Matches == nil || r.Matches(response.Header) {
-			return response, nil
-		}
-		if response.Close || closeDelimited(response) {
-			return nil, errors.New("response belongs to another request")
-		}
-		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBody+1))
-		if err != nil {
-			return nil, err
-		}
-		if skipped > maxSkippedBody {
-			return nil, errors.New("response to another request is too long")
-		}
-	}
-	return nil, errors.New("too many responses to other requests")
-}
-
-// closeDelimited reports whether the end of a response is only marked by closing
-// the connection.
-func closeDelimited(r *http.Response) bool {
-	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
-}
-
-// body is a response body. Closing it returns the connection to the pool if the
-// connection is reusable.
-type body struct {
-	pool         *Pool
-	conn         *conn
-	request      Request
-	response     *http.Response
-	requestWrite *requestWrite
-	stop         func() bool
-	complete     bool
-	closed       bool
-}
-
-// Read implements io.Reader. It returns an error of type Broken if the body is
-// truncated.
-func (b *body) Read(p []byte) (int, error) {
-	n, err := b.response.Body.Read(p)
-	switch {
-	case errors.Is(err, io.EOF):
-		b.complete = true
-		return n, io.EOF
-	case err != nil:
-		return n, Broken.Wrap(err, "read response from %s", b.request.Address)
-	}
-	return n, nil
-}
-
-// Close closes the body. It closes the connection if the response was not read
-// completely.
-func (b *body) Close() error {
-	if b.closed {
-		return nil
-	}
-	b.closed = true
-	if !b.stop() || !b.reusable() {
-		return b.conn.Close()
-	}
-	b.pool.putIdle(b.request.Address, b.conn, b.response.Header)
-	return nil
-}
-
-// reusable reports whether the connection can be used for another request.
-func (b *body) reusable() bool {
-	select {
-	case <-b.requestWrite.done:
-	default:
-		return false
-	}
-	return b.complete && b.requestWrite.err == nil && !b.response.Close && !closeDelimited(b.response) &&
-		b.conn.reader.Buffered() == 0
-}
