Continue a broken stream only with the events that follow

A stream had begun and broke off, and callers found the text of an error or a whole response head in their stream, received events twice, missed some, or got a stream that ended as if it were complete.

Causes: - A 200 of the next upstream was passed on whatever it was: JSON, a page, lines that are no fields of events, an event of type error. - IDs of events were only noted, not compared. An upstream that began again, or left events out, continued the stream all the same. - A stream of which no ID was known was resumed without Last-Event-Id, so its begin came once more.

--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -273,7 +273,10 @@
 		}
 		return s.retryElsewhere(e, req, facts, out)
 	}
-	mayRepeat := req.route.Repeat == model.RepeatFreely && !req.responseStarted || req.route.Repeat == model.RepeatResumed
+	// A stream that has begun is resumed only after a known event. Otherwise the caller
+	// would receive its begin once more.
+	mayRepeat := req.route.Repeat == model.RepeatFreely && !req.responseStarted ||
+		req.route.Repeat == model.RepeatResumed && (!req.responseStarted || req.lastEvent != "")
 	if !mayRepeat || e.Expired || req.attemptsLeft() < 1 {
 		return s.failUnknown(e, req, out)
 	}
--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -194,6 +194,7 @@
 		"stream, broken":              {path: "/stream/1", ended: event.ForwardEnded{Outcome: model.Broken}, reason: model.UpstreamLost, execution: model.OutcomeUnknown},
 		"stream, broken midway":       {path: "/stream/1", ended: event.ForwardEnded{Outcome: model.Broken, Passed: true, LastEvent: "4"}, reason: model.StreamTruncated, execution: model.OutcomeUnknown},
 		"resumable, broken midway":    {path: "/resume/1", ended: event.ForwardEnded{Outcome: model.Broken, Passed: true, LastEvent: "4"}, retried: true},
+		"resumable, no event known":   {path: "/resume/1", ended: event.ForwardEnded{Outcome: model.Broken, Passed: true}, reason: model.StreamTruncated, execution: model.OutcomeUnknown},
 		"resumable, broken at start":  {path: "/resume/1", ended: event.ForwardEnded{Outcome: model.Broken}, retried: true},
 		"resumable, deadline reached": {path: "/resume/1", ended: event.ForwardEnded{Outcome: model.Broken, Expired: true}, reason: model.DeadlineExceeded, execution: model.OutcomeUnknown},
 	} {
