Keep error responses out of streams that have begun

On the product's own interface a chat stream had begun and broke off, and the next engine answered with a status below 500 other than 503 and 409, for example 404 for an unknown model. The caller found the body of that response in its stream, and the request counted as completed.

Cause: only a 200 to a streaming request is read as a stream. Any other response was passed on as a body, and since the head was written already, only its text arrived. The same happened if no token but the role had been passed.

Now an attempt knows whether the caller has the begin of a response. Then a response that is no stream fails the attempt, and the stream is continued elsewhere or ends with an error event.

Ruled out: a 200 that is no event stream (its lines have no event IDs of the attempt and are dropped), gaps, events of other attempts and a repeated begin (offsets are compared), a refusal of another request or attempt (both are compared before the status). TestStreamFaults has a case for the first and the last of these, which passed before.

Before: TestErrorWithinStream fails with "second attempt ended with Completed, want Broken" and "response "200 OK data: {\"t\":1}\n\n{\"error\":\"canary\"}event: error ...", TestStreamFaults in its two cases with "unknown model".

--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -225,6 +226,42 @@
 	}
 }
 
+// TestErrorWithinStream guards against the error of the next upstream within a stream
+// that has begun and broken off, before its first token or after it.
+func TestErrorWithinStream(t *testing.T) {
+	for name, first := range map[string]string{"role only": "0", "token": "1"} {
+		t.Run(name, func(t *testing.T) {
+			var attempts atomic.Int32
+			r := newTestServer(t, func(w http.ResponseWriter, q *http.Request) {
+				w.Header().Set("X-Request-Id", q.Header.Get("X-Request-Id"))
+				w.Header().Set("X-Attempt", q.Header.Get("X-Attempt"))
+				if attempts.Add(1) > 1 {
+					w.WriteHeader(http.StatusNotFound)
+					_, _ = io.WriteString(w, `{"error":"canary"}`)
+					return
+				}
+				_, _ = io.WriteString(w, "id: "+q.Header.Get("X-Request-Id")+"/1/"+first+"\ndata: {\"t\":1}\n\n")
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			})
+			response := r.send(context.Background(), "/v1/chat/completions", chatBody)
+			arrived := nextEvent[event.RequestArrived](r)
+			r.dispatch(arrived.Ticket, model.UpstreamEngine, false)
+			nextEvent[event.AttemptEnded](r)
+			r.dispatch(arrived.Ticket, model.UpstreamEngine, false)
+			if ended := nextEvent[event.AttemptEnded](r); ended.Outcome != model.Broken {
+				t.Errorf("second attempt ended with %v, want Broken", ended.Outcome)
+			}
+			r.tickets.Deliver(effect.Refuse{Ticket: arrived.Ticket, Refusal: model.Refusal{
+				Reason: model.StreamTruncated, Execution: model.OutcomeUnknown,
+			}})
+			if got := <-response; strings.Contains(got, "canary") || !strings.Contains(got, `"Reason":"StreamTruncated"`) {
+				t.Errorf("response %q", got)
+			}
+		})
+	}
+}
+
 // TestBrokenLongResponseIsAborted guards against a truncated response that
 // looks complete. A long response is forwarded before its end is known, so if
 // it breaks off, the status has already been sent, and only closing the
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -109,7 +109,7 @@
 	attempt.Priority = dispatch.Priority
 	attempt.NoResend = dispatch.MustRecord
 	attempt.ReceivedTokens, attempt.Digest = r.response.tokensSent, r.response.tokenDigest
-	attempt.Regenerate = dispatch.Regenerate
+	attempt.Regenerate, attempt.Begun = dispatch.Regenerate, r.response.headerWritten
 	r.attemptNumber = dispatch.Attempt
 	r.mustRecord = dispatch.MustRecord
 	if r.mustRecord {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -64,6 +64,9 @@
 	Body   []byte
 	// Stream is set if the response is expected as server-sent events.
 	Stream bool
+	// Begun is set if the caller has received the begin of a response, which only a
+	// stream can continue.
+	Begun bool
 	// NoResend prevents the HTTP library from sending the request a second time.
 	NoResend bool
 	// ReceivedTokens is the number of tokens that the caller already has. Digest is
@@ -185,6 +188,9 @@
 			return a.passStream(ctx, response, sink)
 		}
 	}
+	if a.Begun || a.ReceivedTokens > 0 {
+		return a.failedAfterSend(ctx, a.ReceivedTokens, upstreamFailed.New("upstream responded with %s, which does not continue a stream", response.Status))
+	}
 	return a.passBody(ctx, response, sink)
 }
 
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -59,6 +59,7 @@
 		name       string
 		body       string
 		aborted    bool
+		begun      bool
 		received   int
 		responseTo string
 		status     int
@@ -117,6 +118,22 @@
 			name: "response to another request", body: chunk(1, "a") + end(1), responseTo: "r2",
 			want: Result{Outcome: model.Broken},
 		},
+		{
+			name: "refusal of another request", status: http.StatusServiceUnavailable, responseTo: "r2",
+			want: Result{Outcome: model.Broken},
+		},
+		{
+			name: "unknown model after the begin of a stream", status: http.StatusNotFound, received: 2,
+			want: Result{Outcome: model.Broken, TokensPassed: 2},
+		},
+		{
+			name: "unknown model before the first token", status: http.StatusNotFound, begun: true,
+			want: Result{Outcome: model.Broken},
+		},
+		{
+			name: "text in place of the rest", body: "{\"error\":{\"message\":\"busy\"}}\n\n", received: 2,
+			want: Result{Outcome: model.Broken, TokensPassed: 2},
+		},
 		{
 			name: "failing upstream", status: http.StatusInternalServerError,
 			want: Result{Outcome: model.Broken},
@@ -137,6 +154,7 @@
 				w.Header().Set(headerAttempt, r.Header.Get(headerAttempt))
 				if test.status != 0 {
 					w.WriteHeader(test.status)
+					_, _ = io.WriteString(w, `{"error":{"message":"failed"}}`)
 					return
 				}
 				_, _ = io.WriteString(w, test.body)
@@ -149,13 +167,16 @@
 			client := New(NewDialer())
 			defer client.Close()
 			attempt := attemptAt(server.Listener.Addr().String(), model.UpstreamEngine)
-			attempt.ReceivedTokens = test.received
+			attempt.ReceivedTokens, attempt.Begun = test.received, test.begun
 			var sink recorder
 			got := client.Run(context.Background(), attempt, &sink)
 			got.Err, got.Digest = nil, 0
 			if diff := cmp.Diff(test.want, got); diff != "" {
 				t.Errorf("unexpected result (-want +got):\n%s", diff)
 			}
+			if got.Outcome != model.Completed && (sink.status >= http.StatusBadRequest || strings.Contains(sink.String(), "error")) {
+				t.Errorf("caller got status %d and %q", sink.status, sink.String())
+			}
 			if text := joinTexts(sink.String()); text != test.text {
 				t.Errorf("caller got %q, want %q", text, test.text)
 			}
@@ -213,6 +234,9 @@
 			if got.Outcome != test.want || got.TokensPassed != test.passed {
 				t.Errorf("outcome %v after %d tokens, error %v", got.Outcome, got.TokensPassed, got.Err)
 			}
+			if got.Outcome != model.Completed && (sink.status >= http.StatusBadRequest || strings.Contains(sink.String(), "error")) {
+				t.Errorf("caller got status %d and %q", sink.status, sink.String())
+			}
 			if text := joinTexts(sink.String()); text != test.text {
 				t.Errorf("caller got %q, want %q", text, test.text)
 			}
