Read the configuration in spite of one odd value

On the product's own interface one object with a value of another writer, nested deeper than 10,000 levels or with control bytes in a string, made the whole page of a list or of the watch of the configuration an error. The watch did not go on and the node lost its proof that its configuration is current.

Cause: a page was decoded as one JSON value. An invalid value alone was a fault of its object already, if the page could be decoded.

Now the values are split off without decoding them and become a fault of their object. What the platform itself adds (kind, name, version, deletion) must still be valid, as a node must not go on behind an object that it does not have.

Ruled out: the list of VMs, which is rejected as a whole on purpose because a VM that is missing counts as stopped, and records with an invalid value, which core ignores (every use of a value checks its type).

--- a/io/plat/client.go
+++ b/io/plat/client.go
@@ -196,8 +196,11 @@
 	if errorx.IsOfType(err, Absent) {
 		return event.ObjectRead{Op: e.Op, SentAt: resp.sentAt, Object: model.Change{Kind: e.Kind, Name: e.Name}}
 	}
-	var object wireObject
-	if err != nil || json.Unmarshal(resp.body, &object) != nil || object.Version == 0 {
+	if err != nil {
+		return event.ObjectReadFailed{Op: e.Op}
+	}
+	object, err := decodeObject(resp.body)
+	if err != nil || object.Version == 0 {
 		return event.ObjectReadFailed{Op: e.Op}
 	}
 	return event.ObjectRead{Op: e.Op, SentAt: resp.sentAt, Found: true, Object: object.toChange(e.Kind)}
--- a/io/plat/list.go
+++ b/io/plat/list.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"time"
 
@@ -27,8 +26,8 @@
 		if sentAt.IsZero() {
 			sentAt = resp.sentAt
 		}
-		var page wirePage
-		if json.Unmarshal(resp.body, &page) != nil || page.Objects == nil || page.Next < after {
+		page, err := decodePage(resp.body)
+		if err != nil || page.Objects == nil || page.Next < after {
 			return event.ObjectReadFailed{Op: e.Op}
 		}
 		for _, object := range page.Objects {
--- a/io/plat/watch.go
+++ b/io/plat/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -119,8 +118,8 @@
 	if err != nil {
 		return wirePage{}, err
 	}
-	var page wirePage
-	if err := json.Unmarshal(resp.body, &page); err != nil {
+	page, err := decodePage(resp.body)
+	if err != nil {
 		return wirePage{}, Lost.Wrap(err, "decode response to %s", path)
 	}
 	// Only a valid watch response counts as contact with the store. A revision
