Ignore impossible windows in the stored usage counts

Now parts that are more than 720 windows older than the first window to report are ignored. That is far beyond the six windows after which a report is too late. Ruled out: a window in the future, which changed nothing before.

--- a/core/usage/snapshot.go
+++ b/core/usage/snapshot.go
@@ -47,6 +47,11 @@
 	return s
 }
 
+// maxStoredAge is the number of windows by which the counts in a snapshot may be older
+// than the first window to report. Windows are reported one after the other, so a
+// snapshot with an impossible window would keep all later ones from being reported.
+const maxStoredAge = 720
+
 // withStoredCounts adds the stored counts of processes that this one has not
 // heard from, or the stored sums of cells, and moves back to the earliest stored
 // window.
@@ -55,6 +60,9 @@
 	learned := map[model.Incarnation][]model.UsageCount{}
 	firstWindow := s.window
 	for _, part := range stored.Parts {
+		if part.Window < s.window-maxStoredAge {
+			continue
+		}
 		if part.Cell {
 			if !facts.Flat {
 				s = s.withCellCounts(part.Incarnation, usageCounts(part))
--- a/core/usage/usage_test.go
+++ b/core/usage/usage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -19,6 +20,10 @@
 	bounds = model.Bounds{UsageWindow: 5 * time.Second, UsageReportDelay: 10 * time.Second}
 )
 
+// maxReports is the number of reports after which the platform answers none. It ends a
+// test in which a node reports one window after the other without an end.
+const maxReports = 5000
+
 // platform is the store and the receiver of usage reports.
 type platform struct {
 	objects  map[string]model.Usage
@@ -78,6 +83,9 @@
 		return []event.Event{event.ObjectWritten{Op: f.Op, SentAt: now, Version: 1}}
 	case effect.ReportUsage:
 		p.reports = append(p.reports, f.Usage)
+		if len(p.reports) >= maxReports {
+			return nil
+		}
 		if p.loseAnswers {
 			return []event.Event{event.SendFailed{Op: f.Op}}
 		}
@@ -199,3 +207,32 @@
 		t.Errorf("reported %v, want 14 in the window before the loss and 1 in the next", got)
 	}
 }
+
+// TestOddSnapshot guards against a stored snapshot with an impossible window, from which
+// on a new holder of the lease reports one window after the other and never comes to
+// the present ones.
+func TestOddSnapshot(t *testing.T) {
+	for _, odd := range []model.Window{math.MinInt64, -1, 0, 1, math.MaxInt64} {
+		t.Run(odd.String(), func(t *testing.T) {
+			window := model.Window(start.Unix() / 5)
+			part := func(incarnation model.Incarnation, window model.Window, requests int64) model.UsagePart {
+				return model.UsagePart{Window: window, Incarnation: incarnation, Lines: []model.UsageLine{{Account: "x", Requests: requests}}}
+			}
+			p := &platform{objects: map[string]model.Usage{}, snapshot: &model.UsageSnapshot{Parts: []model.UsagePart{
+				part(7, odd, math.MaxInt64), part(8, window, 4),
+			}}}
+			n := newNode(p, 2, 6*time.Second)
+			n.apply(6*time.Second, leaseHeld(1))
+			for at := 7 * time.Second; at < 12*time.Second; at += 500 * time.Millisecond {
+				n.apply(at, event.Tick{})
+			}
+			reported := false
+			for _, r := range p.reports {
+				reported = reported || r.Window == window && len(r.Lines) == 1 && r.Lines[0].Requests == 4
+			}
+			if !reported {
+				t.Errorf("%d reports, none of the window before the loss with 4 requests", len(p.reports))
+			}
+		})
+	}
+}
