Compare event IDs that are no numbers only in resumed streams

An event with the same ID as the one before it was dropped within a single stream as well. That is right for numbers, which increase, but IDs that are no numbers have no known order, and only the first event of a resumed stream can be the last one that the caller has.

Before: TestResume fails with "caller receives "a b", whole true; want "a a b", true".

--- a/core/stream/stream.go
+++ b/core/stream/stream.go
@@ -86,7 +86,7 @@
 	case p.isNumber && isNumber && number <= p.number:
 		p.behind, p.repeated = p.resumed && !p.reached && number < p.number, 0
 		return p, Drop
-	case (!p.isNumber || !isNumber) && e.ID == p.last:
+	case (!p.isNumber || !isNumber) && e.ID == p.last && p.resumed && !p.reached:
 		return p, Drop
 	case p.resumed && p.isNumber != isNumber:
 		return p, Reject
--- a/core/stream/stream_test.go
+++ b/core/stream/stream_test.go
@@ -104,6 +104,7 @@
 		"head in the first attempt":       {[]string{"1 2 #HTTP/1.1"}, "1 2", false},
 		"head within an event":            {[]string{"1 #data:x\nHTTP/1.1"}, "1", false},
 		"IDs that are no numbers":         {[]string{"a b", "b c"}, "a b c", true},
+		"equal IDs that are no numbers":   {[]string{"a a b"}, "a a b", true},
 		"IDs of another kind":             {[]string{"1 2", "c"}, "1 2", false},
 		"largest ID":                      {[]string{"18446744073709551615", "18446744073709551615 0"}, "18446744073709551615", false},
 		"no IDs":                          {[]string{"- -"}, "- -", true},
