Send nothing more to an upstream that said that it is leaving

Callers saw requests go to an upstream for seconds after it had said in its answers that it is leaving (Server-Leaving: 1), because placement followed only the registry, which lags behind or cannot be read.

Peers get a hint that lowers the preference for 3 s and takes nothing out.

Ruled out: known by address (a new process there would get nothing); avoidance with a time (the rule has no end before that of the process); trusting the word of two peers, as for unreachable upstreams.

--- a/core/edge/report.go
+++ b/core/edge/report.go
@@ -57,6 +57,7 @@
 	report := model.Report{
 		Member: model.Member{Name: self.Name, Incarnation: self.Incarnation}, Seq: s.reportSeq,
 		Uses: e.Uses, Changes: e.Changes, Prompts: e.Prompts, Unreachable: e.Unreachable,
+		LeavingUpstreams: e.Leaving,
 	}
 	s.quota, report.Admitted = s.quota.TakeUnreported()
 	if peers := s.member.Reachable(); len(peers) > 0 {
--- a/core/event/announce.go
+++ b/core/event/announce.go
@@ -10,6 +10,8 @@
 	Prompts []model.PromptPlaced
 	// Unreachable are the upstreams that this node could not reach.
 	Unreachable []model.UpstreamName
+	// Leaving are the upstreams that told this node that they are leaving.
+	Leaving []model.UpstreamInstance
 }
 
 // SummaryDue is raised when the relay of a cell has to send the other cells what
--- a/core/event/site.go
+++ b/core/event/site.go
@@ -30,6 +30,9 @@
 	// Misdirected is set, with model.Rejected, if the process or role of the
 	// upstream does not match its registry entry.
 	Misdirected bool
+	// Withheld is set, with model.NotSent, if the node did not send the request
+	// because the upstream is leaving.
+	Withheld bool
 	// Handle identifies the KV cache of the prompt after model.StepPrompt.
 	Handle string
 	// Passed is set if a part of the response was forwarded to the caller.
@@ -60,6 +63,9 @@
 	ByPeer bool
 }
 
+// UpstreamLeaving reports that an upstream said in an answer that it is leaving.
+type UpstreamLeaving struct{ Instance model.UpstreamInstance }
+
 // UpstreamRegistered reports a new or changed entry in the upstream registry.
 type UpstreamRegistered struct {
 	Revision model.Version
@@ -84,6 +90,7 @@
 func (SettingsChanged) isEvent()    {}
 func (SiteArrived) isEvent()        {}
 func (SiteRead) isEvent()           {}
+func (UpstreamLeaving) isEvent()    {}
 func (UpstreamRegistered) isEvent() {}
 func (UpstreamRemoved) isEvent()    {}
 func (UpstreamsRead) isEvent()      {}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -59,6 +59,11 @@
 	// suspectedBy is the node that last reported that it could not reach the upstream.
 	suspectedBy model.NodeName
 	suspectedAt time.Time
+	// notice is what the instance said about itself.
+	notice notice
+	// hintedUntil is the time until which reports of peers that the upstream is leaving
+	// lower its preference.
+	hintedUntil time.Time
 	// misdirections counts the requests that the upstream rejected because it
 	// differs from its entry, since the entry changed.
 	misdirections int
@@ -117,6 +122,9 @@
 	// unreachable are the upstreams that this node could not reach since the last
 	// announcement.
 	unreachable []model.UpstreamName
+	// leaving are the upstreams that told this node that they are leaving, since the last
+	// announcement.
+	leaving []model.UpstreamInstance
 	// prompts are the prompts that this node placed since the last
 	// announcement.
 	prompts []model.PromptPlaced
@@ -124,6 +132,7 @@
 	// that have it cached.
 	prefixHolders *immutable.SortedMap[uint64, prefixHolders]
 	speeds        *immutable.SortedMap[model.ServiceName, speed]
+	notices       *immutable.SortedMap[model.UpstreamInstance, notice]
 }
 
 // New returns a state without upstreams.
@@ -133,6 +142,7 @@
 		peers:         immutable.NewSortedMap[model.NodeName, peer](nil),
 		prefixHolders: immutable.NewSortedMap[uint64, prefixHolders](nil),
 		speeds:        immutable.NewSortedMap[model.ServiceName, speed](nil),
+		notices:       immutable.NewSortedMap[model.UpstreamInstance, notice](instanceComparer{}),
 	}
 }
 
@@ -148,6 +158,7 @@
 	case event.UpstreamRemoved:
 		if e.Revision >= s.revision {
 			s.upstreams = s.upstreams.Delete(e.Name)
+			s = s.withoutUnnumbered(e.Name)
 			s.revision = e.Revision
 			s.registrySeq++
 			s = s.withServiceIndex()
@@ -158,6 +169,8 @@
 		s = s.handleUseChanged(e, in.At)
 	case event.AttemptJudged:
 		s = s.handleAttemptJudged(e, in.At, &out)
+	case event.UpstreamLeaving:
+		s = s.handleUpstreamLeaving(e, in.At, &out)
 	case event.PromptMeasured:
 		s = s.handlePromptMeasured(e)
 	case event.RoleOrdered:
@@ -236,7 +249,7 @@
 
 // Usable reports whether the upstream may get requests at the given time.
 func (u Upstream) Usable(at time.Time) bool {
-	return u.State == model.UpstreamActive && !at.Before(u.roleChangeUntil)
+	return u.State == model.UpstreamActive && !at.Before(u.roleChangeUntil) && !u.notice.leaving
 }
 
 // PromptBacklog returns the number of prompt tokens that the upstream has yet to
@@ -271,6 +284,8 @@
 		if u.goneAt.After(at) {
 			next = next.Set(name, u)
 			s.nextGoneAt = step.Earliest(s.nextGoneAt, u.goneAt)
+		} else {
+			s = s.withoutUnnumbered(name)
 		}
 	}
 	if changed || next.Len() != s.upstreams.Len() {
@@ -315,6 +330,7 @@
 		Upstream: u,
 		Hash:     xxhash.Sum64String(string(u.Name)),
 		local:    model.UpstreamUse{Upstream: u.Name},
+		notice:   s.noticeOf(instanceOf(u)),
 	})
 }
 
@@ -332,6 +348,7 @@
 			s.nextGoneAt = step.Earliest(s.nextGoneAt, u.goneAt)
 		default:
 			kept = kept.Delete(name)
+			s = s.withoutUnnumbered(name)
 			out.Emit(beliefEffect(model.UpstreamGone, u.Upstream))
 		}
 	}
@@ -378,10 +395,12 @@
 			uses = append(uses, u.local)
 		}
 	}
-	if len(uses) > 0 || len(s.roleChanges) > 0 || len(s.unreachable) > 0 {
-		out.Raise(event.AnnounceDue{Uses: uses, Changes: s.roleChanges, Prompts: s.prompts, Unreachable: s.unreachable})
+	if len(uses) > 0 || len(s.roleChanges) > 0 || len(s.unreachable) > 0 || len(s.leaving) > 0 {
+		out.Raise(event.AnnounceDue{
+			Uses: uses, Changes: s.roleChanges, Prompts: s.prompts, Unreachable: s.unreachable, Leaving: s.leaving,
+		})
 	}
-	s.dirty, s.roleChanges, s.prompts, s.unreachable, s.announceAt = nil, nil, nil, nil, time.Time{}
+	s.dirty, s.roleChanges, s.prompts, s.unreachable, s.leaving, s.announceAt = nil, nil, nil, nil, nil, time.Time{}
 	return s
 }
 
--- /dev/null
+++ b/core/fleet/notice.go
@@ -0,0 +1,122 @@
+package fleet
+
+import (
+	"cmp"
+	"time"
+
+	"caroblane/core/effect"
+	"caroblane/core/event"
+	"caroblane/core/model"
+	"caroblane/core/step"
+)
+
+const (
+	// maxNotices is the number of notices beyond which those of instances that the
+	// registry does not list are dropped, the oldest first.
+	maxNotices = 1024
+	// leavingHintTime is how long the report of a peer that an upstream is leaving
+	// lowers its preference. By then this node has learned it from the upstream, if it
+	// is true.
+	leavingHintTime = 3 * time.Second
+)
+
+// notice is what an instance of an upstream said about itself in its answers to this
+// node. It is kept apart from the entry of the registry, which may lag behind, expire
+// or come from a peer whose list is older.
+type notice struct {
+	// at is when the instance was last heard.
+	at      time.Time
+	leaving bool
+}
+
+type instanceComparer struct{}
+
+// Compare implements immutable.Comparer.
+func (instanceComparer) Compare(a, b model.UpstreamInstance) int {
+	return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Incarnation, b.Incarnation))
+}
+
+func instanceOf(u model.Upstream) model.UpstreamInstance {
+	return model.UpstreamInstance{Name: u.Name, Incarnation: u.Incarnation}
+}
+
+// Leaving reports whether the upstream said that it is leaving.
+func (u Upstream) Leaving() bool { return u.notice.leaving }
+
+// LeavingHinted reports whether a peer said recently that the upstream is leaving.
+func (u Upstream) LeavingHinted(at time.Time) bool { return at.Before(u.hintedUntil) }
+
+// Withheld reports whether nothing may be sent to an instance of an upstream, even if
+// it was placed there before.
+func (s State) Withheld(u model.Upstream) bool { return s.noticeOf(instanceOf(u)).leaving }
+
+func (s State) noticeOf(instance model.UpstreamInstance) notice {
+	n, _ := s.notices.Get(instance)
+	return n
+}
+
+func (s State) handleUpstreamLeaving(e event.UpstreamLeaving, at time.Time, out *Out) State {
+	n, ok := s.noticeFor(e.Instance)
+	if !ok || n.leaving {
+		return s
+	}
+	n.at, n.leaving = at, true
+	out.Emit(effect.Believe{
+		Belief: model.UpstreamLeaving, Subject: string(e.Instance.Name), Number: uint64(e.Instance.Incarnation),
+	})
+	s.leaving = append(s.leaving[:len(s.leaving):len(s.leaving)], e.Instance)
+	s.announceAt = step.Earliest(s.announceAt, at.Add(startAnnounceDelay))
+	return s.withNotice(e.Instance, n)
+}
+
+// noticeFor returns the notice of an instance that is to be changed. A process without
+// a number of its own is only known while the registry lists it.
+func (s State) noticeFor(instance model.UpstreamInstance) (n notice, ok bool) {
+	return s.noticeOf(instance), instance.Incarnation != 0 || s.lists(instance)
+}
+
+// lists reports whether the registry lists an instance.
+func (s State) lists(instance model.UpstreamInstance) bool {
+	u, found := s.upstreams.Get(instance.Name)
+	return found && u.Incarnation == instance.Incarnation
+}
+
+func (s State) withNotice(instance model.UpstreamInstance, n notice) State {
+	s.notices = s.notices.Set(instance, n)
+	if u, found := s.upstreams.Get(instance.Name); found && u.Incarnation == instance.Incarnation {
+		u.notice = n
+		s.upstreams = s.upstreams.Set(u.Name, u)
+	}
+	if s.notices.Len() <= maxNotices {
+		return s
+	}
+	var oldest model.UpstreamInstance
+	var oldestAt time.Time
+	for itr := s.notices.Iterator(); !itr.Done(); {
+		other, n, _ := itr.Next()
+		if !s.lists(other) && (oldestAt.IsZero() || n.at.Before(oldestAt)) {
+			oldest, oldestAt = other, n.at
+		}
+	}
+	s.notices = s.notices.Delete(oldest)
+	return s
+}
+
+// withoutUnnumbered drops the notice of a process without a number of its own, whose
+// entry was removed. A later entry of that name is taken for another process.
+func (s State) withoutUnnumbered(name model.UpstreamName) State {
+	s.notices = s.notices.Delete(model.UpstreamInstance{Name: name})
+	return s
+}
+
+// withLeavingHint notes that a peer reports an upstream as leaving. The peer may be
+// wrong, or mean another process, so that the upstream is only preferred less.
+func (s State) withLeavingHint(instance model.UpstreamInstance, at time.Time) State {
+	u, found := s.upstreams.Get(instance.Name)
+	if !found || u.Incarnation != instance.Incarnation {
+		return s
+	}
+	u.hintedUntil = at.Add(leavingHintTime)
+	s.upstreams = s.upstreams.Set(u.Name, u)
+	return s
+}
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -53,6 +53,9 @@
 	for _, name := range r.Unreachable {
 		s = s.withUnreachable(name, r.Member.Name, at)
 	}
+	for _, instance := range r.LeavingUpstreams {
+		s = s.withLeavingHint(instance, at)
+	}
 	if full {
 		s = s.withoutSilent(at)
 	}
--- a/core/model/report.go
+++ b/core/model/report.go
@@ -45,6 +45,9 @@
 	Changes []RoleChange
 	// Unreachable are the upstreams that the sender recently could not reach.
 	Unreachable []UpstreamName
+	// LeavingUpstreams are the upstreams that recently told the sender that they are
+	// leaving.
+	LeavingUpstreams []UpstreamInstance
 	// Prompts are the shared prompt prefixes that the sender's requests recently
 	// loaded into engines.
 	Prompts []PromptPlaced
@@ -108,6 +111,13 @@
 	Remaining time.Duration
 }
 
+// UpstreamInstance identifies one process of an upstream. Another process with the
+// same name or at the same address is another instance.
+type UpstreamInstance struct {
+	Name        UpstreamName
+	Incarnation Incarnation
+}
+
 // UpstreamUse is the unfinished work that one node has placed on an upstream.
 type UpstreamUse struct {
 	Upstream UpstreamName
--- a/core/model/site.go
+++ b/core/model/site.go
@@ -23,6 +23,8 @@
 	// UpstreamAvoided and UpstreamGone refer to an upstream.
 	UpstreamAvoided
 	UpstreamGone
+	// UpstreamLeaving means that an upstream said that it is leaving.
+	UpstreamLeaving
 )
 
 // Repeat determines whether a request may be sent to a second upstream.
--- a/core/model/site_string.go
+++ b/core/model/site_string.go
@@ -15,11 +15,12 @@
 	_ = x[PeerForgotten-4]
 	_ = x[UpstreamAvoided-5]
 	_ = x[UpstreamGone-6]
+	_ = x[UpstreamLeaving-7]
 }
 
-const _Belief_name = "LeaseGainedLeaseLostPeerMetPeerStoppedPeerForgottenUpstreamAvoidedUpstreamGone"
+const _Belief_name = "LeaseGainedLeaseLostPeerMetPeerStoppedPeerForgottenUpstreamAvoidedUpstreamGoneUpstreamLeaving"
 
-var _Belief_index = [...]uint8{0, 11, 20, 27, 38, 51, 66, 78}
+var _Belief_index = [...]uint8{0, 11, 20, 27, 38, 51, 66, 78, 93}
 
 func (i Belief) String() string {
 	idx := int(i) - 0
@@ -28,6 +29,7 @@
 	}
 	return _Belief_name[_Belief_index[idx]:_Belief_index[idx+1]]
 }
+
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -48,6 +50,7 @@
 	}
 	return _Repeat_name[_Repeat_index[idx]:_Repeat_index[idx+1]]
 }
+
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
--- a/core/scaler/roles.go
+++ b/core/scaler/roles.go
@@ -70,7 +70,7 @@
 func (s State) roleCandidates(at time.Time, service model.ServiceName, facts Facts) (engines []roleCandidate, prefill, changing int) {
 	for _, name := range facts.Fleet.ActiveUpstreams(service) {
 		u, found := facts.Fleet.Get(name)
-		if !found {
+		if !found || u.Leaving() {
 			continue
 		}
 		c := roleCandidate{Upstream: u, prefill: u.Role == model.RolePrefill}
--- a/core/scaler/scaler_test.go
+++ b/core/scaler/scaler_test.go
@@ -242,3 +242,22 @@
 		}
 	})
 }
+
+// TestLeavingEngines guards against role changes of engines that said that they are
+// leaving, and against a plan that counts them.
+func TestLeavingEngines(t *testing.T) {
+	sim := newSimulation()
+	leaving := map[model.UpstreamName]bool{"u001": true, "u002": true, "u003": true}
+	for name := range leaving {
+		sim.apply(event.UpstreamLeaving{Instance: model.UpstreamInstance{Name: name, Incarnation: 1}})
+	}
+	sim.apply(event.AuthorityChanged{Held: true, Epoch: 7, Until: start.Add(time.Hour)})
+	if len(sim.roles) == 0 || len(sim.roles) > 2 {
+		t.Errorf("%d role changes among the three engines that stay, want 1 or 2", len(sim.roles))
+	}
+	for _, f := range sim.roles {
+		if leaving[f.Upstream.Name] {
+			t.Errorf("role change of %s, which is leaving", f.Upstream.Name)
+		}
+	}
+}
--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -175,6 +175,9 @@
 	}
 	req.running = false
 	out.Raise(event.UseChanged{Upstream: req.upstream.Name, Prompt: -req.load.Prompt, Runs: -req.load.Runs})
+	if e.Withheld && e.Outcome == model.NotSent {
+		return s.placeAgain(e.Ticket, req, facts, out)
+	}
 	if e.Outcome != model.CallerLeft {
 		out.Raise(judge(req, e))
 	}
--- a/core/serve/place.go
+++ b/core/serve/place.go
@@ -42,6 +42,11 @@
 	// avoidedPenalty is the load added to an upstream that is to be avoided, so
 	// that it is used only if there is no other.
 	avoidedPenalty = 10
+	// hintedLoad and hintedBacklog are added to an upstream that a peer reports as
+	// leaving, up to maxHintedLoad, with which it still gets requests.
+	hintedLoad    = 0.25
+	hintedBacklog = 50 * time.Millisecond
+	maxHintedLoad = 0.95
 	// runTime is the assumed time in which an engine generates a response.
 	runTime = time.Second
 	// maxWaitLoad is the load that the prompts add which an engine has yet to compute
@@ -160,7 +165,16 @@
 	if c.peerPreferred {
 		backlog += peerEnginePenalty
 	}
-	return backlog
+	return backlog + c.hintedBacklog()
+}
+
+// hintedBacklog returns the backlog that the report of a peer adds. It lowers the
+// preference, but is not a time to wait.
+func (c candidate) hintedBacklog() time.Duration {
+	if c.LeavingHinted(c.at) {
+		return hintedBacklog
+	}
+	return 0
 }
 
 // Cheap implements place.Engine. It is always false, because the platform sets
@@ -182,6 +196,9 @@
 	if c.Upstream.Zone != c.zone {
 		load += crossZoneLoad
 	}
+	if c.LeavingHinted(c.at) {
+		load = max(load, min(load+hintedLoad, maxHintedLoad))
+	}
 	return load, true
 }
 
@@ -286,7 +303,7 @@
 	if prefix.Copied > 0 {
 		choice.copyFrom = caches.source(c).Address
 	}
-	choice.queued = c.Backlog()
+	choice.queued = c.Backlog() - c.hintedBacklog()
 	choice.wait = choice.queued + prefix.CopyTime + time.Duration(choice.tokens)*token
 	return choice, true
 }
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -107,6 +107,9 @@
 	// attempts of the route.
 	repeatedPrefills int
 	tried            []model.UpstreamName
+	// withheld counts the attempts that this node did not send, because the upstream
+	// said meanwhile that it wants no more requests.
+	withheld int
 	// responseBuffered is set if the last run failed with a response of the
 	// upstream that is passed to the caller if no other upstream can take the
 	// request.
--- a/io/link/announce_test.go
+++ b/io/link/announce_test.go
@@ -39,18 +39,19 @@
 	go sender.Run(ctx)
 	go receiver.Run(ctx)
 	report := model.Report{
-		Member:      model.Member{Name: "a", Zone: "z", Incarnation: 7},
-		Seq:         3,
-		Nodes:       12,
-		Site:        5,
-		Registry:    9,
-		InContact:   true,
-		Uses:        []model.UpstreamUse{{Upstream: "u", Prompt: 1200, Runs: 2}},
-		Admitted:    []model.AccountTotal{{Account: "x", Units: 1280, Recent: 80}},
-		Crashes:     []model.CrashCount{{Fingerprint: 1<<64 - 1, Count: 2}},
-		Changes:     []model.RoleChange{{Upstream: "u", To: model.RolePrefill, Remaining: 3 * time.Second}},
-		Unreachable: []model.UpstreamName{"u", "v"},
-		Prompts:     []model.PromptPlaced{{Upstream: "u", PrefixHash: 1<<64 - 2, Tokens: 17_000}},
+		Member:           model.Member{Name: "a", Zone: "z", Incarnation: 7},
+		Seq:              3,
+		Nodes:            12,
+		Site:             5,
+		Registry:         9,
+		InContact:        true,
+		Uses:             []model.UpstreamUse{{Upstream: "u", Prompt: 1200, Runs: 2}},
+		Admitted:         []model.AccountTotal{{Account: "x", Units: 1280, Recent: 80}},
+		Crashes:          []model.CrashCount{{Fingerprint: 1<<64 - 1, Count: 2}},
+		Changes:          []model.RoleChange{{Upstream: "u", To: model.RolePrefill, Remaining: 3 * time.Second}},
+		Unreachable:      []model.UpstreamName{"u", "v"},
+		LeavingUpstreams: []model.UpstreamInstance{{Name: "u", Incarnation: 1<<64 - 3}},
+		Prompts:          []model.PromptPlaced{{Upstream: "u", PrefixHash: 1<<64 - 2, Tokens: 17_000}},
 	}
 	sender.Execute(ctx, effect.Announce{Peers: []model.Member{{Address: to.LocalAddr().String()}}, Report: report})
 	select {
--- a/io/link/report.go
+++ b/io/link/report.go
@@ -73,6 +73,11 @@
 	for _, name := range w.GetUnreachable() {
 		r.Unreachable = append(r.Unreachable, model.UpstreamName(name))
 	}
+	for _, i := range w.GetLeavingUpstreams() {
+		r.LeavingUpstreams = append(r.LeavingUpstreams, model.UpstreamInstance{
+			Name: model.UpstreamName(i.GetName()), Incarnation: model.Incarnation(i.GetIncarnation()),
+		})
+	}
 	for _, t := range w.GetFormer() {
 		r.Former = append(r.Former, model.ProcessTotal{
 			Node: model.NodeName(t.GetNode()), Incarnation: model.Incarnation(t.GetIncarnation()),
@@ -127,6 +132,11 @@
 	for _, name := range r.Unreachable {
 		w.Unreachable = append(w.Unreachable, string(name))
 	}
+	for _, i := range r.LeavingUpstreams {
+		w.LeavingUpstreams = append(w.LeavingUpstreams, &wire.UpstreamInstance{
+			Name: string(i.Name), Incarnation: uint64(i.Incarnation),
+		})
+	}
 	for _, t := range r.Former {
 		w.Former = append(w.Former, &wire.ProcessTotal{
 			Node: string(t.Node), Incarnation: uint64(t.Incarnation), Account: string(t.Account), Units: t.Units,
