Send nothing to an upstream for as long as it asks with Retry-After

Callers' requests went on to an upstream that had answered 503 with Retry-After: it was avoided for 200 ms only, and not at all if no other upstream was left.

Cause: the header was not read. The client of the upstreams now posts event.PauseAsked for a 503 with a number of seconds or an HTTP date, and core/fleet keeps a deadline for the process: zero, negative numbers, NaN and text ask for nothing; infinity and more than an hour ask for an hour; a later answer extends a pause that runs and never shortens it. A pausing upstream is left out of placement, repeats, prefill steps, role orders and as the source of copies; the checks before sending cover orders, reports and releases, and the reachability check opens no connection to it. A run whose KV cache is at a pausing engine computes the prompt itself. If all upstreams of a service pause, a request is refused at once as not run with the new reason UpstreamsPaused and a Retry-After within the second after the first end. After a pause one request goes first, and two more for each one that was served. Beliefs name the begin with its end, and the end. ForwardBegan bears the status of the answer, so that a stream counts as served once it began.

Ruled out: a longer avoidance (an avoided upstream is used if there is no other); counting the return by ended streams (an engine would be kept from work for the length of several streams).

On the code before, platform TestRetryAfter printed "108 requests during the pause, want none", TestPausedPrefill "5 prefill steps, want 1", TestAllPaused a refusal with NoUpstream. With the limit of the return removed, core/serve TestNotices printed "2 requests placed at b after its pause, which served 0"; with pauses not regarded in placement, core/fleet TestPauseOfInstance failed, and with sources not regarded core/serve TestPausedSource. All pass with the change.

--- a/core/effect/site.go
+++ b/core/effect/site.go
@@ -13,6 +13,8 @@
 	Subject string
 	// Number is the epoch of a lease or the incarnation of a process.
 	Number uint64
+	// Until is when what is believed ends, or zero.
+	Until time.Time
 }
 
 // Decline ends a caller's request on a platform without a response of an
--- a/core/event/share.go
+++ b/core/event/share.go
@@ -19,6 +19,15 @@
 	Failed      bool
 }
 
+// AttemptSettled is raised once for each attempt: when its upstream has begun to answer
+// it as a stream, or else at its end.
+type AttemptSettled struct {
+	Instance model.UpstreamInstance
+	SentAt   time.Time
+	// Served is set if the upstream carried out the request.
+	Served bool
+}
+
 // DemandArrived is raised with the work of an admitted request.
 type DemandArrived struct{ Demand model.ServiceDemand }
 
@@ -98,6 +107,7 @@
 	Cached int
 }
 
+func (AttemptSettled) isEvent() {}
 func (AttemptJudged) isEvent()  {}
 func (DemandArrived) isEvent()  {}
 func (MembersRead) isEvent()    {}
--- a/core/event/site.go
+++ b/core/event/site.go
@@ -11,6 +11,8 @@
 type ForwardBegan struct {
 	Ticket  model.Ticket
 	Attempt int
+	// Status is the HTTP status of the response.
+	Status int
 }
 
 // ForwardEnded reports the end of an attempt at an upstream.
@@ -31,7 +33,7 @@
 	// upstream does not match its registry entry.
 	Misdirected bool
 	// Withheld is set, with model.NotSent, if the node did not send the request
-	// because the upstream is leaving.
+	// because the upstream is leaving or asked for a pause.
 	Withheld bool
 	// Handle identifies the KV cache of the prompt after model.StepPrompt.
 	Handle string
@@ -41,6 +43,14 @@
 	LastEvent string
 }
 
+// PauseAsked reports that an upstream said in an answer that it wants nothing from this
+// node for a time. The number of seconds is as the upstream stated it, and may be any.
+type PauseAsked struct {
+	Instance   model.UpstreamInstance
+	ReceivedAt time.Time
+	Seconds    float64
+}
+
 // RegistryFailed reports that the upstream registry could not be read.
 type RegistryFailed struct{}
 
@@ -86,6 +96,7 @@
 
 func (ForwardBegan) isEvent()       {}
 func (ForwardEnded) isEvent()       {}
+func (PauseAsked) isEvent()         {}
 func (RegistryFailed) isEvent()     {}
 func (SettingsChanged) isEvent()    {}
 func (SiteArrived) isEvent()        {}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -133,6 +133,8 @@
 	prefixHolders *immutable.SortedMap[uint64, prefixHolders]
 	speeds        *immutable.SortedMap[model.ServiceName, speed]
 	notices       *immutable.SortedMap[model.UpstreamInstance, notice]
+	// nextPauseEnd is the earliest end of a pause that is not reported yet, or zero.
+	nextPauseEnd time.Time
 }
 
 // New returns a state without upstreams.
@@ -171,6 +173,10 @@
 		s = s.handleAttemptJudged(e, in.At, &out)
 	case event.UpstreamLeaving:
 		s = s.handleUpstreamLeaving(e, in.At, &out)
+	case event.PauseAsked:
+		s = s.handlePauseAsked(e, in.At, &out)
+	case event.AttemptSettled:
+		s = s.handleAttemptSettled(e)
 	case event.PromptMeasured:
 		s = s.handlePromptMeasured(e)
 	case event.RoleOrdered:
@@ -184,7 +190,7 @@
 	case event.AnnounceArrived:
 		s = s.handleReport(e.Report, false, in.At)
 	case event.Tick:
-		s = s.removeGone(in.At, &out).announce(in.At, &out)
+		s = s.removeGone(in.At, &out).endPauses(in.At, &out).announce(in.At, &out)
 	}
 	return s, out
 }
@@ -210,7 +216,7 @@
 
 // Next returns when the component needs a Tick, or the zero time if it needs
 // none.
-func (s State) Next() time.Time { return step.Earliest(s.nextGoneAt, s.announceAt) }
+func (s State) Next() time.Time { return step.Earliest(s.nextGoneAt, s.announceAt, s.nextPauseEnd) }
 
 // ActiveUpstreams returns the names of the active upstreams of a service.
 func (s State) ActiveUpstreams(service model.ServiceName) []model.UpstreamName {
@@ -249,7 +255,7 @@
 
 // Usable reports whether the upstream may get requests at the given time.
 func (u Upstream) Usable(at time.Time) bool {
-	return u.State == model.UpstreamActive && !at.Before(u.roleChangeUntil) && !u.notice.leaving
+	return u.State == model.UpstreamActive && !at.Before(u.roleChangeUntil) && u.notice.admits(at)
 }
 
 // PromptBacklog returns the number of prompt tokens that the upstream has yet to
@@ -369,6 +375,9 @@
 	u.local.Prompt = max(0, u.local.Prompt+e.Prompt)
 	u.local.Runs = max(0, u.local.Runs+e.Runs)
 	s.upstreams = s.upstreams.Set(e.Upstream, u)
+	if e.Prompt > 0 || e.Runs > 0 {
+		s = s.withTrial(u, at)
+	}
 	for _, placed := range placedPrompts(e.Upstream, e.Parts, e.Cached) {
 		s = s.withCellPrompt(placed)
 		s = s.withPrompt(placed, at)
--- a/core/fleet/notice.go
+++ b/core/fleet/notice.go
@@ -27,6 +27,7 @@
 	// at is when the instance was last heard.
 	at      time.Time
 	leaving bool
+	pause   pause
 }
 
 type instanceComparer struct{}
@@ -48,7 +49,13 @@
 
 // Withheld reports whether nothing may be sent to an instance of an upstream, even if
 // it was placed there before.
-func (s State) Withheld(u model.Upstream) bool { return s.noticeOf(instanceOf(u)).leaving }
+func (s State) Withheld(u model.Upstream, at time.Time) bool {
+	n := s.noticeOf(instanceOf(u))
+	return n.leaving || n.pause.runs(at)
+}
+
+// admits reports whether a request may be placed at the instance.
+func (n notice) admits(at time.Time) bool { return !n.leaving && n.pause.admits(at) }
 
 func (s State) noticeOf(instance model.UpstreamInstance) notice {
 	n, _ := s.notices.Get(instance)
@@ -82,7 +89,11 @@
 }
 
 func (s State) withNotice(instance model.UpstreamInstance, n notice) State {
-	s.notices = s.notices.Set(instance, n)
+	if n.leaving || !n.pause.until.IsZero() {
+		s.notices = s.notices.Set(instance, n)
+	} else {
+		s.notices = s.notices.Delete(instance)
+	}
 	if u, found := s.upstreams.Get(instance.Name); found && u.Incarnation == instance.Incarnation {
 		u.notice = n
 		s.upstreams = s.upstreams.Set(u.Name, u)
--- a/core/fleet/notice_test.go
+++ b/core/fleet/notice_test.go
@@ -56,14 +56,14 @@
 		"avoided meanwhile": {event.AttemptJudged{Upstream: "x", Misdirected: true}, event.UpstreamRegistered{Revision: 6, Upstream: x}},
 	} {
 		after, _ := apply(s, time.Second, events...)
-		if usable(after, "x", time.Hour) || !after.Withheld(x) || !usable(after, "y", time.Hour) {
+		if usable(after, "x", time.Hour) || !after.Withheld(x, start) || !usable(after, "y", time.Hour) {
 			t.Errorf("%s: the upstream that is leaving is used, or another one is not", name)
 		}
 	}
 	next := x
 	next.Incarnation = 2
 	after, _ := apply(s, time.Second, event.UpstreamRegistered{Revision: 6, Upstream: next})
-	if !usable(after, "x", time.Second) || after.Withheld(next) || !after.Withheld(x) {
+	if !usable(after, "x", time.Second) || after.Withheld(next, start) || !after.Withheld(x, start) {
 		t.Error("the new process is not used, or a request to the earlier one is not withheld")
 	}
 	after, _ = apply(after, time.Second, event.UpstreamRegistered{Revision: 7, Upstream: x})
@@ -115,7 +115,7 @@
 			Member: model.Member{Name: name, Incarnation: 1}, Seq: 1, LeavingUpstreams: due.Leaving,
 		}})
 		u, _ := peer.Get("x")
-		if at := start.Add(10 * time.Millisecond); !u.Usable(at) || u.Avoided(at) || !u.LeavingHinted(at) || peer.Withheld(x) {
+		if at := start.Add(10 * time.Millisecond); !u.Usable(at) || u.Avoided(at) || !u.LeavingHinted(at) || peer.Withheld(x, start) {
 			t.Errorf("after the word of %d peers: usable %v, avoided %v, hinted %v", i+1, u.Usable(at), u.Avoided(at), u.LeavingHinted(at))
 		}
 	}
@@ -141,11 +141,11 @@
 	}
 	kept := 0
 	for i := range many {
-		if s.Withheld(model.Upstream{Name: "gone", Incarnation: model.Incarnation(i + 1)}) {
+		if s.Withheld(model.Upstream{Name: "gone", Incarnation: model.Incarnation(i + 1)}, start) {
 			kept++
 		}
 	}
-	if kept > 1024 || kept < 512 || !s.Withheld(x) || !s.Withheld(model.Upstream{Name: "gone", Incarnation: many}) {
-		t.Errorf("%d notices of departed upstreams are kept; listed one kept: %v", kept, s.Withheld(x))
+	if kept > 1024 || kept < 512 || !s.Withheld(x, start) || !s.Withheld(model.Upstream{Name: "gone", Incarnation: many}, start) {
+		t.Errorf("%d notices of departed upstreams are kept; listed one kept: %v", kept, s.Withheld(x, start))
 	}
 }
--- a/core/model/enums.go
+++ b/core/model/enums.go
@@ -106,6 +106,7 @@
 	UnknownRoute
 	UpstreamFailed
 	UpstreamLost
+	UpstreamsPaused
 )
 
 // RequestKind distinguishes chat requests from calls to plain services.
@@ -178,7 +179,7 @@
 // Reasons returns every Reason, so that counters can be created at startup.
 func Reasons() []Reason {
 	var all []Reason
-	for r := Reason(0); r <= UpstreamLost; r++ {
+	for r := Reason(0); r <= UpstreamsPaused; r++ {
 		all = append(all, r)
 	}
 	return all
--- a/core/model/enums_string.go
+++ b/core/model/enums_string.go
@@ -24,6 +24,7 @@
 	}
 	return _Execution_name[_Execution_index[idx]:_Execution_index[idx+1]]
 }
+
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -43,6 +44,7 @@
 	}
 	return _KeyState_name[_KeyState_index[idx]:_KeyState_index[idx+1]]
 }
+
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -75,6 +77,7 @@
 	}
 	return _Kind_name[_Kind_index[idx]:_Kind_index[idx+1]]
 }
+
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -98,6 +101,7 @@
 	}
 	return _Outcome_name[_Outcome_index[idx]:_Outcome_index[idx+1]]
 }
+
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -127,11 +131,12 @@
 	_ = x[UnknownRoute-22]
 	_ = x[UpstreamFailed-23]
 	_ = x[UpstreamLost-24]
+	_ = x[UpstreamsPaused-25]
 }
 
-const _Reason_name = "BodyTooLargeClaimTableFullClaimUnavailableCrashSuspectDeadlineExceededDrainingEarlierOutcomeUnknownIdempotencyMismatchInternalKeyUnknownKeyWasWithdrawnMalformedRequestMissingIdempotencyKeyMissingKeyModelNotAllowedNoUpstreamNotFreshOverloadedRateLimitedRetryBudgetSpentStreamTruncatedUnknownModelUnknownRouteUpstreamFailedUpstreamLost"
+const _Reason_name = "BodyTooLargeClaimTableFullClaimUnavailableCrashSuspectDeadlineExceededDrainingEarlierOutcomeUnknownIdempotencyMismatchInternalKeyUnknownKeyWasWithdrawnMalformedRequestMissingIdempotencyKeyMissingKeyModelNotAllowedNoUpstreamNotFreshOverloadedRateLimitedRetryBudgetSpentStreamTruncatedUnknownModelUnknownRouteUpstreamFailedUpstreamLostUpstreamsPaused"
 
-var _Reason_index = [...]uint16{0, 12, 26, 42, 54, 70, 78, 99, 118, 126, 136, 151, 167, 188, 198, 213, 223, 231, 241, 252, 268, 283, 295, 307, 321, 333}
+var _Reason_index = [...]uint16{0, 12, 26, 42, 54, 70, 78, 99, 118, 126, 136, 151, 167, 188, 198, 213, 223, 231, 241, 252, 268, 283, 295, 307, 321, 333, 348}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
@@ -140,6 +145,7 @@
 	}
 	return _Reason_name[_Reason_index[idx]:_Reason_index[idx+1]]
 }
+
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -159,6 +165,7 @@
 	}
 	return _RequestKind_name[_RequestKind_index[idx]:_RequestKind_index[idx+1]]
 }
+
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -182,6 +189,7 @@
 	}
 	return _RetryReason_name[_RetryReason_index[idx]:_RetryReason_index[idx+1]]
 }
+
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -202,6 +210,7 @@
 	}
 	return _Role_name[_Role_index[idx]:_Role_index[idx+1]]
 }
+
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -221,6 +230,7 @@
 	}
 	return _UpstreamKind_name[_UpstreamKind_index[idx]:_UpstreamKind_index[idx+1]]
 }
+
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
--- a/core/model/site.go
+++ b/core/model/site.go
@@ -25,6 +25,10 @@
 	UpstreamGone
 	// UpstreamLeaving means that an upstream said that it is leaving.
 	UpstreamLeaving
+	// UpstreamPaused and UpstreamPauseOver are the begin and the end of the time for
+	// which an upstream asked this node to send nothing.
+	UpstreamPaused
+	UpstreamPauseOver
 )
 
 // Repeat determines whether a request may be sent to a second upstream.
--- a/core/model/site_string.go
+++ b/core/model/site_string.go
@@ -16,11 +16,13 @@
 	_ = x[UpstreamAvoided-5]
 	_ = x[UpstreamGone-6]
 	_ = x[UpstreamLeaving-7]
+	_ = x[UpstreamPaused-8]
+	_ = x[UpstreamPauseOver-9]
 }
 
-const _Belief_name = "LeaseGainedLeaseLostPeerMetPeerStoppedPeerForgottenUpstreamAvoidedUpstreamGoneUpstreamLeaving"
+const _Belief_name = "LeaseGainedLeaseLostPeerMetPeerStoppedPeerForgottenUpstreamAvoidedUpstreamGoneUpstreamLeavingUpstreamPausedUpstreamPauseOver"
 
-var _Belief_index = [...]uint8{0, 11, 20, 27, 38, 51, 66, 78, 93}
+var _Belief_index = [...]uint8{0, 11, 20, 27, 38, 51, 66, 78, 93, 107, 124}
 
 func (i Belief) String() string {
 	idx := int(i) - 0
--- a/core/scaler/roles.go
+++ b/core/scaler/roles.go
@@ -25,6 +25,8 @@
 	// changing is set while the engine changes its role. Its role is then the new one.
 	changing bool
 	prefill  bool
+	// paused is set if the engine asked for a pause and gets no order for now.
+	paused bool
 }
 
 // planRoles sends the role orders that bring the engines of a service to the share
@@ -73,7 +75,7 @@
 		if !found || u.Leaving() {
 			continue
 		}
-		c := roleCandidate{Upstream: u, prefill: u.Role == model.RolePrefill}
+		c := roleCandidate{Upstream: u, prefill: u.Role == model.RolePrefill, paused: u.Paused(at)}
 		if last, found := s.roleOrders.Get(name); found && (last.pending || at.Before(last.nextAt)) {
 			c.changing, c.prefill = true, last.count == 1
 			changing++
@@ -103,7 +105,7 @@
 	}
 	best, bestCost, found := 0, 0.0, false
 	for i, c := range engines {
-		if c.changing || c.prefill == (role == model.RolePrefill) {
+		if c.changing || c.paused || c.prefill == (role == model.RolePrefill) {
 			continue
 		}
 		count := zones[c.Zone]
--- a/core/scaler/scaler_test.go
+++ b/core/scaler/scaler_test.go
@@ -261,3 +261,23 @@
 		}
 	}
 }
+
+// TestPausedEngines guards against orders to engines that asked for a pause, and against
+// engines that never get one again.
+func TestPausedEngines(t *testing.T) {
+	sim := newSimulation()
+	for _, u := range sim.fleet.Upstreams() {
+		sim.apply(event.PauseAsked{
+			Instance: model.UpstreamInstance{Name: u.Name, Incarnation: u.Incarnation}, ReceivedAt: start, Seconds: 2,
+		})
+	}
+	sim.apply(event.AuthorityChanged{Held: true, Epoch: 7, Until: start.Add(time.Hour)})
+	for _, f := range sim.roles {
+		t.Errorf("role change of %s, which wants nothing", f.Upstream.Name)
+	}
+	sim.now = 3 * time.Second
+	sim.apply(event.Tick{})
+	if len(sim.roles) == 0 {
+		t.Error("no role change after the pauses")
+	}
+}
--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"net/http"
 	"time"
 
 	"caroblane/core/crash"
@@ -38,7 +39,7 @@
 	}
 	u, found := pickService(req, facts)
 	if !found {
-		return s.fail(ticket, req, model.NoUpstream, facts, out)
+		return s.failUnplaced(ticket, req, facts, out)
 	}
 	return s.startAttempt(ticket, req, model.StepRun, u, model.UpstreamUse{Runs: 1}, req.deadline, facts, out)
 }
@@ -46,12 +47,13 @@
 // dispatchToEngine sends a request to an engine: for prefill only, for decoding
 // with a transferred KV cache, or for both.
 func (s State) dispatchToEngine(ticket model.Ticket, req openRequest, facts Facts, out *Out) State {
+	req = req.withUsableHandle(facts)
 	if req.kvHandle != "" {
 		if u, found := pickDecoder(req, facts); found {
 			req.placed = placement{added: req.received.PromptTokens}
 			return s.startAttempt(ticket, req, model.StepRun, u, model.UpstreamUse{Runs: 1}, req.deadline, facts, out)
 		}
-		return s.fail(ticket, req, model.NoUpstream, facts, out)
+		return s.failUnplaced(ticket, req, facts, out)
 	}
 	choice, found := pickEngine(req, facts)
 	if found && req.attempt == 0 {
@@ -62,7 +64,7 @@
 	req.placed = placement{added: choice.added, copyFrom: choice.copyFrom, wait: choice.wait}
 	switch {
 	case !found:
-		return s.fail(ticket, req, model.NoUpstream, facts, out)
+		return s.failUnplaced(ticket, req, facts, out)
 	case choice.prefillOnly:
 		deadline := facts.At.Add(prefillSlack + 2*choice.wait)
 		if req.deadline.Before(deadline) {
@@ -91,7 +93,7 @@
 			Service: req.service.Name, Prompt: load.Prompt, Output: float64(req.received.OutputTokens),
 		}})
 	}
-	req.sentAt = facts.At
+	req.sentAt, req.settled = facts.At, false
 	if upstream, found := facts.Fleet.Get(u.Name); found {
 		req.placed.ahead = upstream.PromptBacklog()
 	}
@@ -153,6 +155,9 @@
 		out.Raise(event.UseChanged{Upstream: req.upstream.Name, Prompt: -req.load.Prompt})
 		req.load.Prompt = 0
 	}
+	if req.route.Stream && e.Status < http.StatusInternalServerError {
+		req = req.settle(true, out)
+	}
 	s.open = s.open.Set(e.Ticket, s.countRun(req, out))
 	return s
 }
@@ -175,6 +180,7 @@
 	}
 	req.running = false
 	out.Raise(event.UseChanged{Upstream: req.upstream.Name, Prompt: -req.load.Prompt, Runs: -req.load.Runs})
+	req = req.settle(e.Outcome == model.Completed && e.Status < http.StatusInternalServerError, out)
 	if e.Withheld && e.Outcome == model.NotSent {
 		return s.placeAgain(e.Ticket, req, facts, out)
 	}
--- a/core/serve/cache.go
+++ b/core/serve/cache.go
@@ -43,7 +43,8 @@
 	var bestGain time.Duration
 	own := p.cached(c)
 	for _, holder := range p.holders {
-		if holder.Name == c.Name || holder.Tokens <= own || holder.Avoided(p.at) || holder.ReadyAt.After(p.at) {
+		if holder.Name == c.Name || holder.Tokens <= own || holder.ReadyAt.After(p.at) ||
+			holder.Avoided(p.at) || holder.Paused(p.at) {
 			continue
 		}
 		tokens := holder.Tokens - own
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -93,9 +93,11 @@
 	// prefillEngine holds the KV cache of the prompt under kvHandle.
 	prefillEngine model.Upstream
 	kvHandle      string
-	// sentAt is when the last attempt was sent, and placed how it was placed.
-	sentAt time.Time
-	placed placement
+	// sentAt is when the last attempt was sent, and placed how it was placed. settled is
+	// set once it is known whether its upstream serves it.
+	sentAt  time.Time
+	placed  placement
+	settled bool
 	// skipPrefill is set if no separate prefill step is made: the engine that
 	// generates the tokens computes the prompt too.
 	skipPrefill bool
--- a/core/serve/withheld.go
+++ b/core/serve/withheld.go
@@ -1,11 +1,22 @@
 package serve
 
-import "caroblane/core/model"
+import (
+	"time"
 
-// maxWithheld is the number of attempts of a request that may be withheld. Each of
-// them needs another upstream that stops taking requests between the placement and
-// the sending.
-const maxWithheld = 8
+	"caroblane/core/event"
+	"caroblane/core/fleet"
+	"caroblane/core/model"
+)
+
+const (
+	// maxWithheld is the number of attempts of a request that may be withheld. Each of
+	// them needs another upstream that stops taking requests between the placement and
+	// the sending.
+	maxWithheld = 8
+	// pauseRetrySpread is the time after the end of a pause over which the callers that
+	// were refused because of it are told to come back.
+	pauseRetrySpread = time.Second
+)
 
 // placeAgain places a request again whose attempt was not sent because the upstream
 // wants no more requests. It uses up neither an attempt nor the retry budget, and a KV
@@ -18,3 +29,47 @@
 	}
 	return s.dispatch(ticket, req, facts, out)
 }
+
+// failUnplaced ends a request for which there is no upstream. If all of them asked for a
+// pause, its caller is told to come back after the first one.
+func (s State) failUnplaced(ticket model.Ticket, req openRequest, facts Facts, out *Out) State {
+	end, all := facts.Fleet.PauseEnd(req.service.Name, facts.At, func(u fleet.Upstream) bool {
+		// An engine that only computes prompts cannot take a request without another one.
+		return !req.service.Engine || u.Role != model.RolePrefill
+	})
+	if !all {
+		return s.fail(ticket, req, model.NoUpstream, facts, out)
+	}
+	if earliest := facts.At.Add(refusedRetryDelay); end.Before(earliest) {
+		end = earliest
+	}
+	spread := time.Duration(float64(facts.Random>>11) / (1 << 53) * float64(pauseRetrySpread))
+	return s.refuse(ticket, req, model.UpstreamsPaused, end.Add(spread), out)
+}
+
+// withUsableHandle returns the request without the KV cache of its prompt if no engine
+// may copy it: the engine that holds it asked for a pause, or has been replaced. The
+// engine that generates the tokens then computes the prompt.
+func (req openRequest) withUsableHandle(facts Facts) openRequest {
+	if req.kvHandle == "" {
+		return req
+	}
+	holder, found := facts.Fleet.Get(req.prefillEngine.Name)
+	replaced := found && holder.Incarnation != req.prefillEngine.Incarnation
+	if replaced || facts.Fleet.Pausing(req.prefillEngine, facts.At) {
+		req.kvHandle, req.skipPrefill = "", true
+	}
+	return req
+}
+
+// settle reports once for each attempt whether its upstream serves it.
+func (req openRequest) settle(served bool, out *Out) openRequest {
+	if !req.settled {
+		out.Raise(event.AttemptSettled{
+			Instance: model.UpstreamInstance{Name: req.upstream.Name, Incarnation: req.upstream.Incarnation},
+			SentAt:   req.sentAt, Served: served,
+		})
+	}
+	req.settled = true
+	return req
+}
