Keep what upstreams said out of the values that placement copies

Placement took a quarter longer since upstreams hold what they said: each candidate is copied several times, and the notice with its times made it some 130 bytes larger.

Upstream now has a pointer to an immutable value, which is nil for most.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -59,11 +59,8 @@
 	// suspectedBy is the node that last reported that it could not reach the upstream.
 	suspectedBy model.NodeName
 	suspectedAt time.Time
-	// notice is what the instance said about itself.
-	notice notice
-	// hintedUntil is the time until which reports of peers that the upstream is leaving
-	// lower its preference.
-	hintedUntil time.Time
+	// heard is nil for most upstreams, which are copied for each placement.
+	heard *heard
 	// misdirections counts the requests that the upstream rejected because it
 	// differs from its entry, since the entry changed.
 	misdirections int
@@ -255,7 +252,7 @@
 
 // Usable reports whether the upstream may get requests at the given time.
 func (u Upstream) Usable(at time.Time) bool {
-	return u.State == model.UpstreamActive && !at.Before(u.roleChangeUntil) && u.notice.admits(at)
+	return u.State == model.UpstreamActive && !at.Before(u.roleChangeUntil) && u.notice().admits(at)
 }
 
 // PromptBacklog returns the number of prompt tokens that the upstream has yet to
@@ -336,7 +333,7 @@
 		Upstream: u,
 		Hash:     xxhash.Sum64String(string(u.Name)),
 		local:    model.UpstreamUse{Upstream: u.Name},
-		notice:   s.noticeOf(instanceOf(u)),
+		heard:    newHeard(s.noticeOf(instanceOf(u)), time.Time{}),
 	})
 }
 
--- a/core/fleet/notice.go
+++ b/core/fleet/notice.go
@@ -30,6 +30,22 @@
 	pause   pause
 }
 
+// heard is what is known of an upstream besides its entry. It is never modified.
+type heard struct {
+	notice notice
+	// hintedUntil is the time until which reports of peers that the upstream is leaving
+	// lower its preference.
+	hintedUntil time.Time
+}
+
+// newHeard returns nil if there is nothing to keep.
+func newHeard(n notice, hintedUntil time.Time) *heard {
+	if n.empty() && hintedUntil.IsZero() {
+		return nil
+	}
+	return &heard{n, hintedUntil}
+}
+
 type instanceComparer struct{}
 
 // Compare implements immutable.Comparer.
@@ -42,10 +58,28 @@
 }
 
 // Leaving reports whether the upstream said that it is leaving.
-func (u Upstream) Leaving() bool { return u.notice.leaving }
+func (u Upstream) Leaving() bool { return u.notice().leaving }
 
 // LeavingHinted reports whether a peer said recently that the upstream is leaving.
-func (u Upstream) LeavingHinted(at time.Time) bool { return at.Before(u.hintedUntil) }
+func (u Upstream) LeavingHinted(at time.Time) bool { return at.Before(u.hintedUntil()) }
+
+// notice returns what the instance said about itself.
+func (u Upstream) notice() notice {
+	if u.heard == nil {
+		return notice{}
+	}
+	return u.heard.notice
+}
+
+func (u Upstream) hintedUntil() time.Time {
+	if u.heard == nil {
+		return time.Time{}
+	}
+	return u.heard.hintedUntil
+}
+
+// empty reports whether the instance said nothing that still counts.
+func (n notice) empty() bool { return !n.leaving && n.pause.until.IsZero() }
 
 // Withheld reports whether nothing may be sent to an instance of an upstream, even if
 // it was placed there before.
@@ -89,13 +123,13 @@
 }
 
 func (s State) withNotice(instance model.UpstreamInstance, n notice) State {
-	if n.leaving || !n.pause.until.IsZero() {
-		s.notices = s.notices.Set(instance, n)
-	} else {
+	if n.empty() {
 		s.notices = s.notices.Delete(instance)
+	} else {
+		s.notices = s.notices.Set(instance, n)
 	}
 	if u, found := s.upstreams.Get(instance.Name); found && u.Incarnation == instance.Incarnation {
-		u.notice = n
+		u.heard = newHeard(n, u.hintedUntil())
 		s.upstreams = s.upstreams.Set(u.Name, u)
 	}
 	if s.notices.Len() <= maxNotices {
@@ -127,7 +161,7 @@
 	if !found || u.Incarnation != instance.Incarnation {
 		return s
 	}
-	u.hintedUntil = at.Add(leavingHintTime)
+	u.heard = newHeard(u.notice(), at.Add(leavingHintTime))
 	s.upstreams = s.upstreams.Set(u.Name, u)
 	return s
 }
--- a/core/fleet/pause.go
+++ b/core/fleet/pause.go
@@ -42,11 +42,11 @@
 }
 
 // Pausing reports whether the upstream wants nothing for now.
-func (u Upstream) Pausing(at time.Time) bool { return u.notice.pause.runs(at) }
+func (u Upstream) Pausing(at time.Time) bool { return u.notice().pause.runs(at) }
 
 // Paused reports whether the upstream gets nothing because of a pause, which runs or
 // after which it has yet to serve what it got.
-func (u Upstream) Paused(at time.Time) bool { return !u.notice.pause.admits(at) }
+func (u Upstream) Paused(at time.Time) bool { return !u.notice().pause.admits(at) }
 
 // Pausing reports whether an instance of an upstream wants nothing for now.
 func (s State) Pausing(u model.Upstream, at time.Time) bool {
@@ -65,7 +65,7 @@
 		if !u.Paused(at) {
 			return time.Time{}, false
 		}
-		end = step.Earliest(end, u.notice.pause.until)
+		end = step.Earliest(end, u.notice().pause.until)
 	}
 	return end, !end.IsZero()
 }
@@ -128,7 +128,7 @@
 
 // withTrial counts a request that was placed at an upstream after its pause.
 func (s State) withTrial(u Upstream, at time.Time) State {
-	n := u.notice
+	n := u.notice()
 	if n.pause.until.IsZero() || n.pause.runs(at) {
 		return s
 	}
