Name the pauses when the last upstream that was tried asked for one

A caller whose request was refused by four upstreams in turn, each with Retry-After, was told NoUpstream and to come back after 0.3 s, although all of them wanted nothing for seconds.

Cause: the ends by the number of rejections and by the retry budget did not look at the pauses, as the end by placement does. All of them now do.

core/serve TestLastPause printed on the code before: "decline {... Reason:NoUpstream ...}; want UpstreamsPaused, not run, after 2 s". It passes with the change.

--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -39,7 +39,7 @@
 	}
 	u, found := pickService(req, facts)
 	if !found {
-		return s.failUnplaced(ticket, req, facts, out)
+		return s.failUnplaced(ticket, req, model.NoUpstream, facts, out)
 	}
 	return s.startAttempt(ticket, req, model.StepRun, u, model.UpstreamUse{Runs: 1}, req.deadline, facts, out)
 }
@@ -53,7 +53,7 @@
 			req.placed = placement{added: req.received.PromptTokens}
 			return s.startAttempt(ticket, req, model.StepRun, u, model.UpstreamUse{Runs: 1}, req.deadline, facts, out)
 		}
-		return s.failUnplaced(ticket, req, facts, out)
+		return s.failUnplaced(ticket, req, model.NoUpstream, facts, out)
 	}
 	choice, found := pickEngine(req, facts)
 	if found && req.attempt == 0 {
@@ -64,7 +64,7 @@
 	req.placed = placement{added: choice.added, copyFrom: choice.copyFrom, wait: choice.wait}
 	switch {
 	case !found:
-		return s.failUnplaced(ticket, req, facts, out)
+		return s.failUnplaced(ticket, req, model.NoUpstream, facts, out)
 	case choice.prefillOnly:
 		deadline := facts.At.Add(prefillSlack + 2*choice.wait)
 		if req.deadline.Before(deadline) {
@@ -264,7 +264,7 @@
 	if notRun {
 		req.rejections++
 		if req.rejections > maxRejections {
-			return s.fail(e.Ticket, req, model.NoUpstream, facts, out)
+			return s.failUnplaced(e.Ticket, req, model.NoUpstream, facts, out)
 		}
 		return s.retryElsewhere(e, req, facts, out)
 	}
@@ -286,7 +286,7 @@
 			if req.runs > 0 {
 				return s.failUnknown(e, req, out)
 			}
-			return s.fail(e.Ticket, req, model.RetryBudgetSpent, facts, out)
+			return s.failUnplaced(e.Ticket, req, model.RetryBudgetSpent, facts, out)
 		}
 	}
 	out.Emit(effect.CountRetry{Reason: retryReason(e, req)})
--- a/core/serve/pause_test.go
+++ b/core/serve/pause_test.go
@@ -80,6 +80,24 @@
 	}
 }
 
+// TestLastPause guards against callers that come back too early because the last upstream
+// that a request was sent to is the one that makes all of them want a pause.
+func TestLastPause(t *testing.T) {
+	h := newHarness()
+	h.arrive("/send/1", key)
+	for range 4 {
+		if h.forward == nil {
+			t.Fatal("refused although an upstream is left")
+		}
+		h.pause(2, h.forward.Upstream.Name)
+		h.endAttempt(event.ForwardEnded{Outcome: model.Rejected, Status: 503})
+	}
+	d, _ := h.lastDecline()
+	if d.Reason != model.UpstreamsPaused || d.Execution != model.NotRun || d.RetryAt.Before(startTime.Add(2*time.Second)) {
+		t.Errorf("decline %+v; want UpstreamsPaused, not run, after 2 s", d)
+	}
+}
+
 // TestPausedSource guards against copies of a KV cache from an engine that wants
 // nothing, and against a request that fails for lack of it.
 func TestPausedSource(t *testing.T) {
--- a/core/serve/withheld.go
+++ b/core/serve/withheld.go
@@ -25,20 +25,21 @@
 	req.withheld++
 	s.open = s.open.Set(ticket, req)
 	if req.withheld > maxWithheld {
-		return s.fail(ticket, req, model.NoUpstream, facts, out)
+		return s.failUnplaced(ticket, req, model.NoUpstream, facts, out)
 	}
 	return s.dispatch(ticket, req, facts, out)
 }
 
-// failUnplaced ends a request for which there is no upstream. If all of them asked for a
-// pause, its caller is told to come back after the first one.
-func (s State) failUnplaced(ticket model.Ticket, req openRequest, facts Facts, out *Out) State {
+// failUnplaced ends a request that is sent to no further upstream for a reason. If all
+// of them asked for a pause, this is the reason, and the caller is told to come back
+// after the first one.
+func (s State) failUnplaced(ticket model.Ticket, req openRequest, reason model.Reason, facts Facts, out *Out) State {
 	end, all := facts.Fleet.PauseEnd(req.service.Name, facts.At, func(u fleet.Upstream) bool {
 		// An engine that only computes prompts cannot take a request without another one.
 		return !req.service.Engine || u.Role != model.RolePrefill
 	})
 	if !all {
-		return s.fail(ticket, req, model.NoUpstream, facts, out)
+		return s.fail(ticket, req, reason, facts, out)
 	}
 	if earliest := facts.At.Add(refusedRetryDelay); end.Before(earliest) {
 		end = earliest
