Announce upstreams that leave a few at a time

When many upstreams left at once, the hint to the peers did not fit a datagram, and the announcer dropped it together with the work that the same announcement reports.

Cause: an announcement had all upstreams that had left since the last one. It now has at most 12, and the others follow in the next ones.

core/fleet TestLeavingAnnounced printed on the code before: "announced 100 upstreams at once, want at most 12". It passes with the change.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -401,12 +401,16 @@
 			uses = append(uses, u.local)
 		}
 	}
-	if len(uses) > 0 || len(s.roleChanges) > 0 || len(s.unreachable) > 0 || len(s.leaving) > 0 {
+	hints := s.leaving[:min(len(s.leaving), maxLeavingHints)]
+	if len(uses) > 0 || len(s.roleChanges) > 0 || len(s.unreachable) > 0 || len(hints) > 0 {
 		out.Raise(event.AnnounceDue{
-			Uses: uses, Changes: s.roleChanges, Prompts: s.prompts, Unreachable: s.unreachable, Leaving: s.leaving,
+			Uses: uses, Changes: s.roleChanges, Prompts: s.prompts, Unreachable: s.unreachable, Leaving: hints,
 		})
 	}
-	s.dirty, s.roleChanges, s.prompts, s.unreachable, s.leaving, s.announceAt = nil, nil, nil, nil, nil, time.Time{}
+	s.dirty, s.roleChanges, s.prompts, s.unreachable, s.announceAt = nil, nil, nil, nil, time.Time{}
+	if s.leaving = s.leaving[len(hints):]; len(s.leaving) > 0 {
+		s.announceAt = at.Add(startAnnounceDelay)
+	}
 	return s
 }
 
--- a/core/fleet/notice.go
+++ b/core/fleet/notice.go
@@ -14,6 +14,9 @@
 	// maxNotices is the number of notices beyond which those of instances that the
 	// registry does not list are dropped, the oldest first.
 	maxNotices = 1024
+	// maxLeavingHints limits the leaving upstreams in an announcement, so that it fits a
+	// datagram. The others follow in the next ones.
+	maxLeavingHints = 12
 	// leavingHintTime is how long the report of a peer that an upstream is leaving
 	// lowers its preference. By then this node has learned it from the upstream, if it
 	// is true.
--- a/core/fleet/notice_test.go
+++ b/core/fleet/notice_test.go
@@ -130,6 +130,34 @@
 	}
 }
 
+// TestLeavingAnnounced guards against announcements that do not fit a datagram, and
+// against upstreams that are not announced, when many leave at once.
+func TestLeavingAnnounced(t *testing.T) {
+	s := fleet.New()
+	const many = 100
+	for i := range many {
+		s, _ = apply(s, 0, event.UpstreamLeaving{Instance: model.UpstreamInstance{Name: "x", Incarnation: model.Incarnation(i + 1)}})
+	}
+	announced := map[model.UpstreamInstance]bool{}
+	for range many {
+		if s.Next().IsZero() {
+			break
+		}
+		var raised []event.Event
+		s, raised = apply(s, s.Next().Sub(start), event.Tick{})
+		due, ok := raised[0].(event.AnnounceDue)
+		if !ok || len(due.Leaving) > 12 {
+			t.Fatalf("announced %d upstreams at once, want at most 12", len(due.Leaving))
+		}
+		for _, i := range due.Leaving {
+			announced[i] = true
+		}
+	}
+	if len(announced) != many {
+		t.Errorf("announced %d of %d upstreams", len(announced), many)
+	}
+}
+
 // TestNoticesBounded guards against memory that grows with each upstream that ever left,
 // and against forgetting one that the registry still lists.
 func TestNoticesBounded(t *testing.T) {
