Keep the generated names as stringer writes them

The formatter had added blank lines to the generated files of core/model, so that go generate changed them again. They are now as generated; go generate leaves no difference.

--- a/core/model/enums_string.go
+++ b/core/model/enums_string.go
@@ -24,7 +24,6 @@
 	}
 	return _Execution_name[_Execution_index[idx]:_Execution_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -44,7 +43,6 @@
 	}
 	return _KeyState_name[_KeyState_index[idx]:_KeyState_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -77,7 +75,6 @@
 	}
 	return _Kind_name[_Kind_index[idx]:_Kind_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -101,7 +98,6 @@
 	}
 	return _Outcome_name[_Outcome_index[idx]:_Outcome_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -145,7 +141,6 @@
 	}
 	return _Reason_name[_Reason_index[idx]:_Reason_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -165,7 +160,6 @@
 	}
 	return _RequestKind_name[_RequestKind_index[idx]:_RequestKind_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -189,7 +183,6 @@
 	}
 	return _RetryReason_name[_RetryReason_index[idx]:_RetryReason_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -210,7 +203,6 @@
 	}
 	return _Role_name[_Role_index[idx]:_Role_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -230,7 +222,6 @@
 	}
 	return _UpstreamKind_name[_UpstreamKind_index[idx]:_UpstreamKind_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
--- a/core/model/records_string.go
+++ b/core/model/records_string.go
@@ -25,7 +25,6 @@
 	}
 	return _ClaimState_name[_ClaimState_index[idx]:_ClaimState_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -46,7 +45,6 @@
 	}
 	return _OrderAction_name[_OrderAction_index[idx]:_OrderAction_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -67,7 +65,6 @@
 	}
 	return _OrderState_name[_OrderState_index[idx]:_OrderState_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -88,7 +85,6 @@
 	}
 	return _ProvisionState_name[_ProvisionState_index[idx]:_ProvisionState_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -109,7 +105,6 @@
 	}
 	return _SendResult_name[_SendResult_index[idx]:_SendResult_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
--- a/core/model/site_string.go
+++ b/core/model/site_string.go
@@ -31,7 +31,6 @@
 	}
 	return _Belief_name[_Belief_index[idx]:_Belief_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -52,7 +51,6 @@
 	}
 	return _Repeat_name[_Repeat_index[idx]:_Repeat_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
