--- a/core/effect/site.go
+++ b/core/effect/site.go
@@ -25,6 +25,8 @@
 	// Number is the epoch of a lease, the incarnation of a process or the number of
 	// crashes that count against a part of a prompt.
 	Number uint64
+	// Until is when what is believed ends, or zero.
+	Until time.Time
 }
 
 // Decline ends a caller's request on a platform without a response of an
--- a/core/event/announce.go
+++ b/core/event/announce.go
@@ -10,6 +10,8 @@
 	Prompts []model.PromptPlaced
 	// Unreachable are the upstreams that this node could not reach.
 	Unreachable []model.UpstreamName
+	// Leaving are the upstreams that told this node that they are leaving.
+	Leaving []model.UpstreamInstance
 }
 
 // SuspicionsDue is raised when the peers have to be told of suspected parts of prompts.
--- a/core/event/site.go
+++ b/core/event/site.go
@@ -11,6 +11,8 @@
 type ForwardBegan struct {
 	Ticket  model.Ticket
 	Attempt int
+	// Status is the HTTP status of the response.
+	Status int
 }
 
 // ForwardEnded reports the end of an attempt at an upstream.
@@ -30,6 +32,9 @@
 	// Misdirected is set, with model.Rejected, if the process or role of the
 	// upstream does not match its registry entry.
 	Misdirected bool
+	// Withheld is set, with model.NotSent, if the node did not send the request
+	// because the upstream is leaving or asked for a pause.
+	Withheld bool
 	// Handle identifies the KV cache of the prompt after model.StepPrompt.
 	Handle string
 	// Passed is set if a part of the response was forwarded to the caller.
@@ -56,6 +61,14 @@
 	Ignored int
 }
 
+// PauseAsked reports that an upstream said in an answer that it wants nothing from this
+// node for a time. The number of seconds is as the upstream stated it, and may be any.
+type PauseAsked struct {
+	Instance   model.UpstreamInstance
+	ReceivedAt time.Time
+	Seconds    float64
+}
+
 // RegistryFailed reports that the upstream registry could not be read.
 type RegistryFailed struct{}
 
@@ -78,6 +91,9 @@
 	ByPeer bool
 }
 
+// UpstreamLeaving reports that an upstream said in an answer that it is leaving.
+type UpstreamLeaving struct{ Instance model.UpstreamInstance }
+
 // UpstreamRegistered reports a new or changed entry in the upstream registry.
 type UpstreamRegistered struct {
 	Revision model.Version
@@ -99,10 +115,12 @@
 func (ForwardBegan) isEvent()       {}
 func (ForwardEnded) isEvent()       {}
 func (ForwardSilent) isEvent()      {}
+func (PauseAsked) isEvent()         {}
 func (RegistryFailed) isEvent()     {}
 func (SettingsChanged) isEvent()    {}
 func (SiteArrived) isEvent()        {}
 func (SiteRead) isEvent()           {}
+func (UpstreamLeaving) isEvent()    {}
 func (UpstreamRegistered) isEvent() {}
 func (UpstreamRemoved) isEvent()    {}
 func (UpstreamsRead) isEvent()      {}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -59,6 +59,8 @@
 	// suspectedBy is the node that last reported that it could not reach the upstream.
 	suspectedBy model.NodeName
 	suspectedAt time.Time
+	// heard is nil for most upstreams, which are copied for each placement.
+	heard *heard
 	// misdirections counts the requests that the upstream rejected because it
 	// differs from its entry, since the entry changed.
 	misdirections int
@@ -117,6 +119,9 @@
 	// unreachable are the upstreams that this node could not reach since the last
 	// announcement.
 	unreachable []model.UpstreamName
+	// leaving are the upstreams that told this node that they are leaving, since the last
+	// announcement.
+	leaving []model.UpstreamInstance
 	// prompts are the prompts that this node placed since the last
 	// announcement.
 	prompts []model.PromptPlaced
@@ -124,6 +129,9 @@
 	// that have it cached.
 	prefixHolders *immutable.SortedMap[uint64, prefixHolders]
 	speeds        *immutable.SortedMap[model.ServiceName, speed]
+	notices       *immutable.SortedMap[model.UpstreamInstance, notice]
+	// nextPauseEnd is the earliest end of a pause that is not reported yet, or zero.
+	nextPauseEnd time.Time
 }
 
 // New returns a state without upstreams.
@@ -133,6 +141,7 @@
 		peers:         immutable.NewSortedMap[model.NodeName, peer](nil),
 		prefixHolders: immutable.NewSortedMap[uint64, prefixHolders](nil),
 		speeds:        immutable.NewSortedMap[model.ServiceName, speed](nil),
+		notices:       immutable.NewSortedMap[model.UpstreamInstance, notice](instanceComparer{}),
 	}
 }
 
@@ -148,6 +157,7 @@
 	case event.UpstreamRemoved:
 		if e.Revision >= s.revision {
 			s.upstreams = s.upstreams.Delete(e.Name)
+			s = s.withoutUnnumbered(e.Name)
 			s.revision = e.Revision
 			s.registrySeq++
 			s = s.withServiceIndex()
@@ -158,6 +168,12 @@
 		s = s.handleUseChanged(e, in.At)
 	case event.AttemptJudged:
 		s = s.handleAttemptJudged(e, in.At, &out)
+	case event.UpstreamLeaving:
+		s = s.handleUpstreamLeaving(e, in.At, &out)
+	case event.PauseAsked:
+		s = s.handlePauseAsked(e, in.At, &out)
+	case event.AttemptSettled:
+		s = s.handleAttemptSettled(e)
 	case event.PromptMeasured:
 		s = s.handlePromptMeasured(e)
 	case event.RoleOrdered:
@@ -171,7 +187,7 @@
 	case event.AnnounceArrived:
 		s = s.handleReport(e.Report, false, in.At)
 	case event.Tick:
-		s = s.removeGone(in.At, &out).announce(in.At, &out)
+		s = s.removeGone(in.At, &out).endPauses(in.At, &out).announce(in.At, &out)
 	}
 	return s, out
 }
@@ -197,7 +213,7 @@
 
 // Next returns when the component needs a Tick, or the zero time if it needs
 // none.
-func (s State) Next() time.Time { return step.Earliest(s.nextGoneAt, s.announceAt) }
+func (s State) Next() time.Time { return step.Earliest(s.nextGoneAt, s.announceAt, s.nextPauseEnd) }
 
 // ActiveUpstreams returns the names of the active upstreams of a service.
 func (s State) ActiveUpstreams(service model.ServiceName) []model.UpstreamName {
@@ -236,7 +252,7 @@
 
 // Usable reports whether the upstream may get requests at the given time.
 func (u Upstream) Usable(at time.Time) bool {
-	return u.State == model.UpstreamActive && !at.Before(u.roleChangeUntil)
+	return u.State == model.UpstreamActive && !at.Before(u.roleChangeUntil) && u.notice().admits(at)
 }
 
 // PromptBacklog returns the number of prompt tokens that the upstream has yet to
@@ -271,6 +287,8 @@
 		if u.goneAt.After(at) {
 			next = next.Set(name, u)
 			s.nextGoneAt = step.Earliest(s.nextGoneAt, u.goneAt)
+		} else {
+			s = s.withoutUnnumbered(name)
 		}
 	}
 	if changed || next.Len() != s.upstreams.Len() {
@@ -315,6 +333,7 @@
 		Upstream: u,
 		Hash:     xxhash.Sum64String(string(u.Name)),
 		local:    model.UpstreamUse{Upstream: u.Name},
+		heard:    newHeard(s.noticeOf(instanceOf(u)), time.Time{}),
 	})
 }
 
@@ -332,6 +351,7 @@
 			s.nextGoneAt = step.Earliest(s.nextGoneAt, u.goneAt)
 		default:
 			kept = kept.Delete(name)
+			s = s.withoutUnnumbered(name)
 			out.Emit(beliefEffect(model.UpstreamGone, u.Upstream))
 		}
 	}
@@ -352,6 +372,9 @@
 	u.local.Prompt = max(0, u.local.Prompt+e.Prompt)
 	u.local.Runs = max(0, u.local.Runs+e.Runs)
 	s.upstreams = s.upstreams.Set(e.Upstream, u)
+	if e.Prompt > 0 || e.Runs > 0 {
+		s = s.withTrial(u, at)
+	}
 	for _, placed := range placedPrompts(e.Upstream, e.Parts, e.Cached) {
 		s = s.withCellPrompt(placed)
 		s = s.withPrompt(placed, at)
@@ -378,10 +401,16 @@
 			uses = append(uses, u.local)
 		}
 	}
-	if len(uses) > 0 || len(s.roleChanges) > 0 || len(s.unreachable) > 0 {
-		out.Raise(event.AnnounceDue{Uses: uses, Changes: s.roleChanges, Prompts: s.prompts, Unreachable: s.unreachable})
+	hints := s.leaving[:min(len(s.leaving), maxLeavingHints)]
+	if len(uses) > 0 || len(s.roleChanges) > 0 || len(s.unreachable) > 0 || len(hints) > 0 {
+		out.Raise(event.AnnounceDue{
+			Uses: uses, Changes: s.roleChanges, Prompts: s.prompts, Unreachable: s.unreachable, Leaving: hints,
+		})
 	}
 	s.dirty, s.roleChanges, s.prompts, s.unreachable, s.announceAt = nil, nil, nil, nil, time.Time{}
+	if s.leaving = s.leaving[len(hints):]; len(s.leaving) > 0 {
+		s.announceAt = at.Add(startAnnounceDelay)
+	}
 	return s
 }
 
--- a/core/model/enums_string.go
+++ b/core/model/enums_string.go
@@ -128,11 +128,12 @@
 	_ = x[UnknownRoute-23]
 	_ = x[UpstreamFailed-24]
 	_ = x[UpstreamLost-25]
+	_ = x[UpstreamsPaused-26]
 }
 
-const _Reason_name = "BodyTooLargeClaimTableFullClaimUnavailableCrashSuspectCrashingPartDeadlineExceededDrainingEarlierOutcomeUnknownIdempotencyMismatchInternalKeyUnknownKeyWasWithdrawnMalformedRequestMissingIdempotencyKeyMissingKeyModelNotAllowedNoUpstreamNotFreshOverloadedRateLimitedRetryBudgetSpentStreamTruncatedUnknownModelUnknownRouteUpstreamFailedUpstreamLost"
+const _Reason_name = "BodyTooLargeClaimTableFullClaimUnavailableCrashSuspectCrashingPartDeadlineExceededDrainingEarlierOutcomeUnknownIdempotencyMismatchInternalKeyUnknownKeyWasWithdrawnMalformedRequestMissingIdempotencyKeyMissingKeyModelNotAllowedNoUpstreamNotFreshOverloadedRateLimitedRetryBudgetSpentStreamTruncatedUnknownModelUnknownRouteUpstreamFailedUpstreamLostUpstreamsPaused"
 
-var _Reason_index = [...]uint16{0, 12, 26, 42, 54, 66, 82, 90, 111, 130, 138, 148, 163, 179, 200, 210, 225, 235, 243, 253, 264, 280, 295, 307, 319, 333, 345}
+var _Reason_index = [...]uint16{0, 12, 26, 42, 54, 66, 82, 90, 111, 130, 138, 148, 163, 179, 200, 210, 225, 235, 243, 253, 264, 280, 295, 307, 319, 333, 345, 360}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/core/model/site_string.go
+++ b/core/model/site_string.go
@@ -19,11 +19,14 @@
 	_ = x[PartHeld-8]
 	_ = x[PartTried-9]
 	_ = x[PartCleared-10]
+	_ = x[UpstreamLeaving-11]
+	_ = x[UpstreamPaused-12]
+	_ = x[UpstreamPauseOver-13]
 }
 
-const _Belief_name = "LeaseGainedLeaseLostPeerMetPeerStoppedPeerForgottenUpstreamAvoidedUpstreamGonePartSuspectedPartHeldPartTriedPartCleared"
+const _Belief_name = "LeaseGainedLeaseLostPeerMetPeerStoppedPeerForgottenUpstreamAvoidedUpstreamGonePartSuspectedPartHeldPartTriedPartClearedUpstreamLeavingUpstreamPausedUpstreamPauseOver"
 
-var _Belief_index = [...]uint8{0, 11, 20, 27, 38, 51, 66, 78, 91, 99, 108, 119}
+var _Belief_index = [...]uint8{0, 11, 20, 27, 38, 51, 66, 78, 91, 99, 108, 119, 134, 148, 165}
 
 func (i Belief) String() string {
 	idx := int(i) - 0
--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"net/http"
 	"time"
 
 	"caroblane/core/crash"
@@ -46,7 +47,7 @@
 		u, found = req.silence.next, true
 	}
 	if !found {
-		return s.fail(ticket, req, model.NoUpstream, facts, out)
+		return s.failUnplaced(ticket, req, model.NoUpstream, facts, out)
 	}
 	return s.startAttempt(ticket, req, model.StepRun, u, model.UpstreamUse{Runs: 1}, req.deadline, facts, out)
 }
@@ -54,12 +55,13 @@
 // dispatchToEngine sends a request to an engine: for prefill only, for decoding
 // with a transferred KV cache, or for both.
 func (s State) dispatchToEngine(ticket model.Ticket, req openRequest, facts Facts, out *Out) State {
+	req = req.withUsableHandle(facts)
 	if req.kvHandle != "" {
 		if u, found := pickDecoder(req, facts); found {
 			req.placed = placement{added: req.received.PromptTokens}
 			return s.startAttempt(ticket, req, model.StepRun, u, model.UpstreamUse{Runs: 1}, req.deadline, facts, out)
 		}
-		return s.fail(ticket, req, model.NoUpstream, facts, out)
+		return s.failUnplaced(ticket, req, model.NoUpstream, facts, out)
 	}
 	choice, found := pickEngine(req, facts)
 	if !found && req.silence.retryTaken {
@@ -76,7 +78,7 @@
 	req.placed = placement{added: choice.added, copyFrom: choice.copyFrom, wait: choice.wait}
 	switch {
 	case !found:
-		return s.fail(ticket, req, model.NoUpstream, facts, out)
+		return s.failUnplaced(ticket, req, model.NoUpstream, facts, out)
 	case choice.prefillOnly:
 		deadline := facts.At.Add(prefillSlack + 2*choice.wait)
 		if req.deadline.Before(deadline) {
@@ -105,7 +107,7 @@
 			Service: req.service.Name, Prompt: load.Prompt, Output: float64(req.received.OutputTokens),
 		}})
 	}
-	req.sentAt, req.silence = facts.At, silence{}
+	req.sentAt, req.silence, req.settled = facts.At, silence{}, false
 	if upstream, found := facts.Fleet.Get(u.Name); found {
 		req.placed.ahead = upstream.PromptBacklog()
 	}
@@ -168,6 +170,9 @@
 		req.load.Prompt = 0
 	}
 	s, req = s.withStart(e.Ticket, req, facts.At)
+	if req.route.Stream && e.Status < http.StatusInternalServerError {
+		req = req.settle(true, out)
+	}
 	s.open = s.open.Set(e.Ticket, s.countRun(req, out))
 	return s
 }
@@ -190,6 +195,10 @@
 	}
 	req.running = false
 	out.Raise(event.UseChanged{Upstream: req.upstream.Name, Prompt: -req.load.Prompt, Runs: -req.load.Runs})
+	req = req.settle(e.Outcome == model.Completed && e.Status < http.StatusInternalServerError, out)
+	if e.Withheld && e.Outcome == model.NotSent {
+		return s.placeAgain(e.Ticket, req, facts, out)
+	}
 	if e.Outcome != model.CallerLeft {
 		out.Raise(judge(req, e))
 	}
@@ -269,7 +278,7 @@
 	if notRun {
 		req.rejections++
 		if req.rejections > maxRejections {
-			return s.fail(e.Ticket, req, model.NoUpstream, facts, out)
+			return s.failUnplaced(e.Ticket, req, model.NoUpstream, facts, out)
 		}
 		return s.retryElsewhere(e, req, facts, out)
 	}
@@ -296,7 +305,7 @@
 			if req.runs > 0 {
 				return s.failUnknown(e, req, out)
 			}
-			return s.fail(e.Ticket, req, model.RetryBudgetSpent, facts, out)
+			return s.failUnplaced(e.Ticket, req, model.RetryBudgetSpent, facts, out)
 		}
 	}
 	out.Emit(effect.CountRetry{Reason: retryReason(e, req)})
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -97,9 +97,11 @@
 	// prefillEngine holds the KV cache of the prompt under kvHandle.
 	prefillEngine model.Upstream
 	kvHandle      string
-	// sentAt is when the last attempt was sent, and placed how it was placed.
-	sentAt time.Time
-	placed placement
+	// sentAt is when the last attempt was sent, and placed how it was placed. settled is
+	// set once it is known whether its upstream serves it.
+	sentAt  time.Time
+	placed  placement
+	settled bool
 	// skipPrefill is set if no separate prefill step is made: the engine that
 	// generates the tokens computes the prompt too.
 	skipPrefill bool
@@ -111,6 +113,9 @@
 	// attempts of the route.
 	repeatedPrefills int
 	tried            []model.UpstreamName
+	// withheld counts the attempts that this node did not send, because the upstream
+	// said meanwhile that it wants no more requests.
+	withheld int
 	// responseBuffered is set if the last run failed with a response of the
 	// upstream that is passed to the caller if no other upstream can take the
 	// request.
