Treat a response with a status below 100 as broken

An upstream that answers with a status like 000 ended the process, and with it every request on the node: http.ReadResponse accepts such a status, and WriteHeader panics with it on the goroutine of the attempt, where nothing recovers. io/pool now treats the response as Broken, so that the request is repeated elsewhere or refused with 502.

--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -49,6 +49,9 @@
 	// maxRequests is the number of requests after which a connection is closed. It
 	// limits the memory for their IDs.
 	maxRequests = 128
+	// minStatus is the lowest status of a response. http.ReadResponse also accepts
+	// numbers below it, with which a ResponseWriter panics.
+	minStatus = 100
 )
 
 // Errors is the error namespace of this package.
--- a/io/pool/response.go
+++ b/io/pool/response.go
@@ -43,6 +43,9 @@
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
 			continue
 		}
+		if response.StatusCode < minStatus {
+			return nil, errors.New("response has an invalid status")
+		}
 		if r.Matches == nil || r.Matches(response.Header) {
 			return response, nil
 		}
