Never end the server because a new connection is already closed

Accept of io/conns passed on an error of the connection that it had just accepted, at which http.Server stops serving. Found by reading; such an error was not seen.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -75,7 +75,8 @@
 	l.mu.Lock()
 	l.open[c] = struct{}{}
 	l.mu.Unlock()
-	return c, c.updateDeadline()
+	c.updateDeadline()
+	return c, nil
 }
 
 // ConnState is the hook by which an http.Server tells the state of a connection.
@@ -111,7 +112,7 @@
 	}
 	l.mu.Unlock()
 	for _, c := range conns {
-		_ = c.updateDeadline()
+		c.updateDeadline()
 	}
 	select {
 	case <-l.empty:
@@ -251,14 +252,15 @@
 	_ = c.Conn.SetReadDeadline(c.deadline())
 }
 
-// updateDeadline applies changes of what the deadline depends on.
-func (c *conn) updateDeadline() error {
+// updateDeadline applies changes of what the deadline depends on. An error means that
+// the connection is closed, which the next read reports. An error of Accept would end
+// the server.
+func (c *conn) updateDeadline() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == running {
-		return nil
+	if c.phase != running {
+		_ = c.Conn.SetReadDeadline(c.deadline())
 	}
-	return c.Conn.SetReadDeadline(c.deadline())
 }
 
 // extend reports whether a read whose deadline has passed may be repeated, because the
