Send no Retry-After with the refusal to repeat a crashing request

Callers whose request had crashed two upstreams got 502 with a Retry-After of 0.3 s, because the refusal before a repeat used the delay for requests that no upstream took. Admission refuses the same request without one. The new test failed before: "declined with CrashSuspect, OutcomeUnknown, and retry after 300ms; want CrashSuspect, OutcomeUnknown, and none".

--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -34,7 +34,7 @@
 		return s.failExpired(ticket, req, out)
 	}
 	if s.crashes.Verdict(req.received.Fingerprint, facts.At) != crash.Normal {
-		return s.fail(ticket, req, model.CrashSuspect, facts, out)
+		return s.refuse(ticket, req, model.CrashSuspect, time.Time{}, out)
 	}
 	if verdict := s.verdict(req.received, facts); verdict.Part != 0 && !req.trial {
 		return s.dispatchHeld(ticket, req, verdict, facts, out)
--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -284,6 +284,20 @@
 	}
 }
 
+// TestCrashingRequestIsNotInvitedBack guards against a Retry-After of a fraction of a
+// second in the refusal to repeat a request that crashed two upstreams.
+func TestCrashingRequestIsNotInvitedBack(t *testing.T) {
+	h := newHarness()
+	h.arrive("/read/1", key)
+	for range 2 {
+		h.endAttempt(event.ForwardEnded{Outcome: model.Broken, Crashed: true})
+	}
+	d, _ := h.lastDecline()
+	if d.Reason != model.CrashSuspect || d.Execution != model.OutcomeUnknown || !d.RetryAt.IsZero() {
+		t.Errorf("declined with %v, %v, and retry after %v; want CrashSuspect, OutcomeUnknown, and none", d.Reason, d.Execution, d.RetryAt.Sub(startTime))
+	}
+}
+
 // TestCallerGone guards against work that continues after the caller has
 // disconnected.
 func TestCallerGone(t *testing.T) {
