--- a/core/poison/suspect.go
+++ b/core/poison/suspect.go
@@ -15,8 +15,9 @@
 )
 
 // trialWaits are the times between the moment when a part was held, or its last trial,
-// and the next trial, by the number of trials since it was held.
-var trialWaits = [...]time.Duration{time.Second, 10 * time.Second, time.Minute, 10 * time.Minute}
+// and the next trial, by the number of trials since it was held. The third wait is long
+// because each failed trial costs an engine.
+var trialWaits = [...]time.Duration{time.Second, 10 * time.Second, 5 * time.Minute, 10 * time.Minute}
 
 // maxTrialDelay is the largest part of a wait by which it is extended, so that several
 // nodes do not start a trial at the same time.
