--- a/core/edge/suspect_test.go
+++ b/core/edge/suspect_test.go
@@ -21,8 +21,8 @@
 // simSeed is the seed of the simulated arrivals and delays.
 var simSeed = flag.Uint64("edge.seed", 1, "seed of the simulations")
 
-// traffic sends requests until a time, of which a share has a deadly part.
-type traffic struct {
+// arrivals sends requests until a time, of which a share has a deadly part.
+type arrivals struct {
 	until    time.Duration
 	interval time.Duration
 	// deadlyAfter is when requests with the deadly parts begin. The part was sound
@@ -35,7 +35,7 @@
 	deadly []uint64
 }
 
-func (c traffic) next(n *network) {
+func (c arrivals) next(n *network) {
 	if n.now >= c.until {
 		return
 	}
@@ -131,21 +131,21 @@
 	one, two := []uint64{deadlyPart}, []uint64{deadlyPart, secondDeadly}
 	for name, c := range map[string]struct {
 		site
-		traffic
+		arrivals
 		// cut is set if a node is cut off from the others when the crashes begin, until
 		// shortly before the end.
 		cut bool
 	}{
-		"share of 0.01":               {site: flat, traffic: traffic{share: 0.01, place: 1, deadly: one}},
-		"share of 0.05, first":        {site: flat, traffic: traffic{share: 0.05, place: 0, deadly: one}},
-		"share of 0.15, next to last": {site: flat, traffic: traffic{share: 0.15, place: 2, deadly: one}},
-		"sound before":                {site: flat, traffic: traffic{share: 0.05, place: 1, soundBefore: true, deadly: one}},
-		"sound before, share of 0.15": {site: flat, traffic: traffic{share: 0.15, place: 0, soundBefore: true, deadly: one}},
-		"two parts at once":           {site: flat, traffic: traffic{share: 0.1, place: 1, deadly: two}},
-		"two parts that were sound":   {site: flat, traffic: traffic{share: 0.1, place: 1, soundBefore: true, deadly: two}},
-		"node cut off":                {site: flat, traffic: traffic{share: 0.1, place: 1, deadly: one}, cut: true},
-		"cells":                       {site: cells, traffic: traffic{share: 0.05, place: 1, deadly: one}},
-		"cells, sound before":         {site: cells, traffic: traffic{share: 0.15, place: 2, soundBefore: true, deadly: one}},
+		"share of 0.01":               {site: flat, arrivals: arrivals{share: 0.01, place: 1, deadly: one}},
+		"share of 0.05, first":        {site: flat, arrivals: arrivals{share: 0.05, place: 0, deadly: one}},
+		"share of 0.15, next to last": {site: flat, arrivals: arrivals{share: 0.15, place: 2, deadly: one}},
+		"sound before":                {site: flat, arrivals: arrivals{share: 0.05, place: 1, soundBefore: true, deadly: one}},
+		"sound before, share of 0.15": {site: flat, arrivals: arrivals{share: 0.15, place: 0, soundBefore: true, deadly: one}},
+		"two parts at once":           {site: flat, arrivals: arrivals{share: 0.1, place: 1, deadly: two}},
+		"two parts that were sound":   {site: flat, arrivals: arrivals{share: 0.1, place: 1, soundBefore: true, deadly: two}},
+		"node cut off":                {site: flat, arrivals: arrivals{share: 0.1, place: 1, deadly: one}, cut: true},
+		"cells":                       {site: cells, arrivals: arrivals{share: 0.05, place: 1, deadly: one}},
+		"cells, sound before":         {site: cells, arrivals: arrivals{share: 0.15, place: 2, soundBefore: true, deadly: one}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			n := newNetwork(*simSeed, c.zones, c.nodes, c.engines)
@@ -178,7 +178,7 @@
 		t.Run(name, func(t *testing.T) {
 			const warmUp, length = 5 * time.Second, 9 * time.Second
 			n := newNetwork(*simSeed, c.zones, c.nodes, 24)
-			traffic{until: warmUp + length, interval: 20 * time.Millisecond}.next(n)
+			arrivals{until: warmUp + length, interval: 20 * time.Millisecond}.next(n)
 			n.run(warmUp)
 			for round := range 2 {
 				for i, e := range n.engines {
