Close a connection that is accepted while a drain ends

A node that stopped could end with a panic: a connection that net/http had accepted, but not yet registered, when the drain found no open one, closed the channel of the drain a second time when it was closed.

The channel is closed once. TestLateAccept failed before with 'panic: close of closed channel'.

Measured: the tests of io/conns pass.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -56,8 +56,11 @@
 	open map[*conn]struct{}
 	// drainedAt is when the drain began, or zero.
 	drainedAt time.Time
-	// empty is closed once no connection is open after the drain has begun.
-	empty chan struct{}
+	// empty is closed once no connection is open after the drain has begun. A
+	// connection that is accepted just then is closed later, so that the last one may be
+	// closed more than once.
+	empty   chan struct{}
+	emptied sync.Once
 }
 
 // New returns a listener for the connections that another one accepts.
@@ -103,7 +106,7 @@
 	if l.drainedAt.IsZero() {
 		l.drainedAt = l.options.Now()
 		if len(l.open) == 0 {
-			close(l.empty)
+			l.emptied.Do(func() { close(l.empty) })
 		}
 	}
 	conns := make([]*conn, 0, len(l.open))
@@ -143,7 +146,7 @@
 	}
 	delete(l.open, c)
 	if len(l.open) == 0 && !l.drainedAt.IsZero() {
-		close(l.empty)
+		l.emptied.Do(func() { close(l.empty) })
 	}
 }
 
--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -297,3 +297,37 @@
 		}
 	})
 }
+
+// lateListener returns a connection that was accepted just before Close.
+type lateListener struct {
+	pipeListener
+	server net.Conn
+}
+
+// Accept implements net.Listener.
+func (l lateListener) Accept() (net.Conn, error) {
+	<-l.closed
+	time.Sleep(time.Second)
+	return l.server, nil
+}
+
+// TestLateAccept guards against a panic when a connection is closed that was accepted
+// while the drain found no other one.
+func TestLateAccept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server, caller := net.Pipe()
+		defer func() { _ = caller.Close() }()
+		l := conns.New(lateListener{newPipeListener(), server}, options())
+		accepted := make(chan net.Conn)
+		go func() {
+			c, _ := l.Accept()
+			accepted <- c
+		}()
+		if err := l.Drain(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if err := (<-accepted).Close(); err != nil {
+			t.Error(err)
+		}
+	})
+}
