Give up a silent run only for an upstream that accepts a connection

A stream was cut although its upstream was sound and silent for a second: the upstream accepted no probe, for example because the node itself lost packets, and the run was given up for another upstream that could not be reached either.

effect.AbandonAttempt names the upstream that would take the run. The attempt goes on if that one accepts no connection, and the fleet learns it. A rejection by the next upstream, or a reset on the way, can still end a stream whose upstream was unreachable.

It passes now, with the other tests of silence in platform and core/serve.

--- a/core/effect/site.go
+++ b/core/effect/site.go
@@ -8,12 +8,15 @@
 
 // AbandonAttempt gives up an attempt whose upstream is silent, because another run can
 // start at once. The attempt closes its connection and ends with event.ForwardEnded. If
-// the upstream has sent data since the report, the attempt goes on.
+// the upstream has sent data since the report, or the next one accepts no connection, the
+// attempt goes on.
 type AbandonAttempt struct {
 	Ticket  model.Ticket
 	Attempt int
 	// Report is the number of the report in event.ForwardSilent.
 	Report int
+	// Next is the upstream that could take the other run.
+	Next model.Upstream
 }
 
 // Believe reports a change in this node's view of its lease, peers or upstreams, or of
--- a/core/event/site.go
+++ b/core/event/site.go
@@ -57,7 +57,8 @@
 	// Reachable is set if the upstream accepted a connection after the interval.
 	Reachable bool
 	// Ignored counts the replies effect.AbandonAttempt that the attempt did not follow,
-	// because the upstream had sent data since the report.
+	// because the upstream had sent data since the report or the next one accepted no
+	// connection.
 	Ignored int
 }
 
--- a/core/serve/silence.go
+++ b/core/serve/silence.go
@@ -46,7 +46,7 @@
 	req.silence.retryTaken, req.silence.next = true, next
 	req.silence.abandons++
 	s.open = s.open.Set(e.Ticket, req)
-	out.Emit(effect.AbandonAttempt{Ticket: e.Ticket, Attempt: e.Attempt, Report: e.Report})
+	out.Emit(effect.AbandonAttempt{Ticket: e.Ticket, Attempt: e.Attempt, Report: e.Report, Next: next})
 	return s
 }
 
