Do not count an unreachable silent upstream as a crash

A request whose content two nodes had sent to silent upstreams was refused as CrashSuspect for ten minutes, although nothing had crashed: one probe of at most 200 ms that was lost counted as a crash of the upstream by that content.

The end of an attempt that was given up says Unreachable, which makes the fleet avoid the upstream, and no longer Crashed. The case 'crashed before' of TestRunGivenUpBySilence expected that such an attempt goes on, since its end would have been the second crash; it is the first now, so the case expects the other run.

TestLostProbesAreNoCrash fails with the former classification ('crash counts after a lost probe: [{Fingerprint:9 Count:1}]', by setting Crashed in the harness).

--- a/core/event/site.go
+++ b/core/event/site.go
@@ -29,6 +29,9 @@
 	Stalled bool
 	// Crashed is set if the upstream's process appears to have terminated.
 	Crashed bool
+	// Unreachable is set if an upstream that was silent accepted no connection. The
+	// network between may be the cause, so it does not count as a crash.
+	Unreachable bool
 	// Misdirected is set, with model.Rejected, if the process or role of the
 	// upstream does not match its registry entry.
 	Misdirected bool
--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -226,7 +226,7 @@
 func judge(req openRequest, e event.ForwardEnded) event.AttemptJudged {
 	return event.AttemptJudged{
 		Upstream:    req.upstream.Name,
-		Unreachable: e.Outcome == model.NotSent || e.Crashed,
+		Unreachable: e.Outcome == model.NotSent || e.Crashed || e.Unreachable,
 		Misdirected: e.Misdirected,
 		Rejected:    e.Outcome == model.Rejected && (req.step == model.StepPrompt || req.kvHandle == ""),
 		Failed:      e.Outcome == model.Broken || e.Outcome == model.Failed || e.Expired || e.Status >= 500,
--- a/core/serve/silence.go
+++ b/core/serve/silence.go
@@ -63,12 +63,7 @@
 			return false
 		}
 	}
-	crashes := s.crashes
-	if !e.Reachable {
-		// The end of the attempt will count as a crash.
-		crashes = crashes.WithCrash([]uint64{req.received.Fingerprint}, facts.At)
-	}
-	return crashes.Verdict(req.received.Fingerprint, facts.At) == crash.Normal
+	return s.crashes.Verdict(req.received.Fingerprint, facts.At) == crash.Normal
 }
 
 // takeRetry returns the retry budget after the run that follows the running attempt,
