Add stand-ins of a platform and a soak of the entry daemon with faults

The soak runs caroblaned platform as several processes against stand-ins of the store, the duties API, engines and plain services, applies a seeded schedule of faults, and judges the recorded history.

--- a/cmd/caroblane-fake/root.go
+++ b/cmd/caroblane-fake/root.go
@@ -14,7 +14,7 @@
 	return &cli.Command{
 		Name:     "caroblane-fake",
 		Usage:    "run a fake server, generate load, or compare policies on simulated engines",
-		Commands: []*cli.Command{engineCommand(), plainCommand(), loadCommand(), policyCommand(), storeCommand()},
+		Commands: []*cli.Command{engineCommand(), plainCommand(), loadCommand(), policyCommand(), soakCommand(), storeCommand()},
 	}
 }
 
