--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -162,7 +162,7 @@
 	}
 	to := s.receivers(in.Event)
 	if to.has(toFeed) {
-		s.feed, out = s.feed.Apply(in, s.feedFacts(in.At))
+		s.feed, out = s.feed.Apply(in, s.feedView(in.At))
 		all = all.With(out)
 	}
 	if to.has(toSite) {
@@ -178,13 +178,13 @@
 		all = all.With(out)
 	}
 	if to.has(toQuota) {
-		s.quota, out = s.quota.Apply(in, quota.Facts{
+		s.quota, out = s.quota.Apply(in, quota.View{
 			WallTime: s.member.WallTime(in.At), WritesRecords: s.isRecorder(in.At),
 		})
 		all = all.With(out)
 	}
 	if to.has(toUsage) {
-		s.usage, out = s.usage.Apply(in, s.usageFacts(in.At))
+		s.usage, out = s.usage.Apply(in, s.usageView(in.At))
 		all = all.With(out)
 	}
 	if to.has(toLease) {
@@ -192,11 +192,11 @@
 		all = all.With(out)
 	}
 	if to.has(toScaler) {
-		s.scaler, out = s.scaler.Apply(in, scaler.Facts{Site: s.site, Fleet: s.fleet})
+		s.scaler, out = s.scaler.Apply(in, scaler.View{Site: s.site, Fleet: s.fleet})
 		all = all.With(out)
 	}
 	if to.has(toServe) {
-		s.serve, out = s.serve.Apply(in, s.serveFacts(in))
+		s.serve, out = s.serve.Apply(in, s.serveView(in))
 		all = all.With(out)
 	}
 	return s.announceNews(&all), all
@@ -214,11 +214,11 @@
 	return s.site.InContact(at) && s.member.IsRecorder()
 }
 
-// serveFacts returns the state of other components that request handling reads.
-func (s State) serveFacts(in Input) serve.Facts {
+// serveView returns the state of other components that request handling reads.
+func (s State) serveView(in Input) serve.View {
 	rank, nodes := s.member.Rank()
 	zoneRank, zoneNodes := s.member.ZoneRank()
-	return serve.Facts{
+	return serve.View{
 		Site:            s.site,
 		Fleet:           s.fleet,
 		Nodes:           s.member.NodeCount(),
--- a/core/edge/feed.go
+++ b/core/edge/feed.go
@@ -15,11 +15,11 @@
 	registry uint64
 }
 
-// feedFacts returns the state of other components that the feed reads.
-func (s State) feedFacts(at time.Time) feed.Facts {
+// feedView returns the state of other components that the feed reads.
+func (s State) feedView(at time.Time) feed.View {
 	rank, _ := s.member.Rank()
 	revision, _, _ := s.site.Confirmation(time.Time{})
-	return feed.Facts{
+	return feed.View{
 		Direct: s.member.Flat() || s.member.IsRelay(),
 		Known:  s.member.Settled(at),
 		Relay:  s.member.Relay().Name,
--- a/core/edge/report.go
+++ b/core/edge/report.go
@@ -153,9 +153,9 @@
 // cellKey returns the number under which sums of this node's cell are kept.
 func (s State) cellKey() model.Incarnation { return model.CellIncarnation(s.member.Self().Zone) }
 
-// usageFacts returns the state of other components that the usage reports read.
-func (s State) usageFacts(at time.Time) usage.Facts {
-	return usage.Facts{
+// usageView returns the state of other components that the usage reports read.
+func (s State) usageView(at time.Time) usage.View {
+	return usage.View{
 		WallTime:      s.member.WallTime(at),
 		OldestHeardAt: s.member.WallTime(s.member.OldestHeardAt(at)),
 		Flat:          s.member.Flat(),
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -32,8 +32,8 @@
 // Out holds the effects and events that one Apply call produces.
 type Out = step.Out[event.Event, effect.Effect]
 
-// Facts is the state of other components that Apply reads.
-type Facts struct {
+// View is the state of other components that Apply reads.
+type View struct {
 	// Direct is set if this node reads the store for itself or for its cell.
 	Direct bool
 	// Known is set once the division into cells is known.
@@ -67,16 +67,16 @@
 	fetchUntil time.Time
 	// decided is set once the first decision has been made.
 	decided bool
-	facts   Facts
+	view    View
 }
 
 // New returns the state of a node that starts at the given time.
 func New(startAt time.Time) State { return State{startAt: startAt} }
 
 // Apply processes the reports of peers and what was fetched from them.
-func (s State) Apply(in step.Input[event.Event], facts Facts) (State, Out) {
+func (s State) Apply(in step.Input[event.Event], view View) (State, Out) {
 	var out Out
-	s.facts = facts
+	s.view = view
 	switch e := in.Event.(type) {
 	case event.SyncAnswered:
 		s = s.handleReport(e.Report, e.SentAt, in.At, &out)
@@ -108,7 +108,7 @@
 // dueAt returns when this node reads the store unless a peer proves earlier that its
 // configuration is current.
 func (s State) dueAt() time.Time {
-	delay := time.Duration(min(s.facts.Rank, maxRank)) * rankDelay
+	delay := time.Duration(min(s.view.Rank, maxRank)) * rankDelay
 	if !s.proven {
 		return s.startAt.Add(startPatience + delay)
 	}
@@ -117,11 +117,11 @@
 
 // decide starts or stops reading the store.
 func (s State) decide(at time.Time, out *Out) State {
-	if !s.facts.Known && at.Before(s.startAt.Add(layoutTimeout)) {
+	if !s.view.Known && at.Before(s.startAt.Add(layoutTimeout)) {
 		return s
 	}
 	s.decided = true
-	reading := s.facts.Direct || !s.facts.Known || !at.Before(s.dueAt())
+	reading := s.view.Direct || !s.view.Known || !at.Before(s.dueAt())
 	if reading != s.reading {
 		s.reading = reading
 		out.Emit(effect.FollowStore{On: reading})
@@ -141,17 +141,17 @@
 // fetchNews fetches what a peer has and this node has not: a later configuration, or
 // another list of upstreams at the relay.
 func (s State) fetchNews(r model.Report, at time.Time, out *Out) State {
-	if s.facts.Direct || r.Nodes > 0 || at.Before(s.fetchUntil) {
+	if s.view.Direct || r.Nodes > 0 || at.Before(s.fetchUntil) {
 		return s
 	}
-	isRelay := r.Member.Name == s.facts.Relay && r.Registry > 0
+	isRelay := r.Member.Name == s.view.Relay && r.Registry > 0
 	has := list{r.Member.Incarnation, r.Registry}
-	if r.Site <= s.facts.Site && (!isRelay || has == s.upstreams) {
+	if r.Site <= s.view.Site && (!isRelay || has == s.upstreams) {
 		return s
 	}
 	s.fetchUntil = at.Add(fetchTimeout)
 	out.Emit(effect.FetchFeed{
-		Peer: r.Member, Site: s.facts.Site, Process: s.upstreams.process, Registry: s.upstreams.seq,
+		Peer: r.Member, Site: s.view.Site, Process: s.upstreams.process, Registry: s.upstreams.seq,
 	})
 	return s
 }
--- a/core/feed/feed_test.go
+++ b/core/feed/feed_test.go
@@ -14,10 +14,10 @@
 var start = time.Unix(1_800_000_000, 0)
 
 // follower is a node that is not the relay of its cell.
-var follower = feed.Facts{Known: true, Relay: "relay", Rank: 2, Site: 7}
+var follower = feed.View{Known: true, Relay: "relay", Rank: 2, Site: 7}
 
-func apply(s feed.State, at time.Duration, e event.Event, facts feed.Facts) (feed.State, feed.Out) {
-	return s.Apply(step.Input[event.Event]{At: start.Add(at), Event: e}, facts)
+func apply(s feed.State, at time.Duration, e event.Event, view feed.View) (feed.State, feed.Out) {
+	return s.Apply(step.Input[event.Event]{At: start.Add(at), Event: e}, view)
 }
 
 // proof is the answer of the relay to a call that was sent at a time.
@@ -40,16 +40,16 @@
 // TestReading guards against hundreds of nodes that read the store although their relay
 // does, and against nodes that trust a proof for too long.
 func TestReading(t *testing.T) {
-	direct := feed.Facts{Direct: true, Known: true}
+	direct := feed.View{Direct: true, Known: true}
 	for name, c := range map[string]struct {
-		facts feed.Facts
+		view feed.View
 		// proofAt and age are those of the last proof, if proofAt is not negative.
 		proofAt, age, at time.Duration
 		want             bool
 	}{
 		"relay":                                {direct, -1, 0, 0, true},
-		"layout unknown at the start":          {feed.Facts{}, -1, 0, 100 * time.Millisecond, false},
-		"layout unknown for long":              {feed.Facts{}, -1, 0, time.Second, true},
+		"layout unknown at the start":          {feed.View{}, -1, 0, 100 * time.Millisecond, false},
+		"layout unknown for long":              {feed.View{}, -1, 0, time.Second, true},
 		"follower at the start":                {follower, -1, 0, 100 * time.Millisecond, false},
 		"follower without any proof":           {follower, -1, 0, time.Second, true},
 		"follower with a proof":                {follower, 2 * time.Second, 0, 3 * time.Second, false},
@@ -57,11 +57,11 @@
 		"follower with a proof of an old read": {follower, 2 * time.Second, 1900 * time.Millisecond, 2100 * time.Millisecond, true},
 	} {
 		s := feed.New(start)
-		s, _ = apply(s, 0, event.Tick{}, c.facts)
+		s, _ = apply(s, 0, event.Tick{}, c.view)
 		if c.proofAt >= 0 {
-			s, _ = apply(s, c.proofAt, proof(c.proofAt, c.age, 7, 0), c.facts)
+			s, _ = apply(s, c.proofAt, proof(c.proofAt, c.age, 7, 0), c.view)
 		}
-		s, _ = apply(s, c.at, event.Tick{}, c.facts)
+		s, _ = apply(s, c.at, event.Tick{}, c.view)
 		if s.Reading() != c.want {
 			t.Errorf("%s: reads the store: %v, want %v", name, s.Reading(), c.want)
 		}
--- a/core/flow/admit.go
+++ b/core/flow/admit.go
@@ -8,15 +8,15 @@
 	"caroblane/core/model"
 )
 
-func (s State) handleRequestArrived(e event.RequestArrived, facts Facts, out *Out) State {
-	req, reason, ok := s.validate(&e.Request, facts)
+func (s State) handleRequestArrived(e event.RequestArrived, view View, out *Out) State {
+	req, reason, ok := s.validate(&e.Request, view)
 	if !ok {
 		emitRefusal(e.Ticket, newRefusal(reason, model.NotRun, retryAfterSeconds(reason)), out)
 		return s
 	}
-	s.retries = s.retries.WithRequest(facts.At)
+	s.retries = s.retries.WithRequest(view.At)
 	if req.account == "" {
-		return s.continueAdmitted(e.Ticket, req, facts, out)
+		return s.continueAdmitted(e.Ticket, req, view, out)
 	}
 	s.arrival = &arrival{request: req, ticket: e.Ticket}
 	out.Raise(event.AdmissionAsked{
@@ -30,19 +30,19 @@
 
 // validate decides whether a request is accepted, and resolves its route,
 // account and priority.
-func (s State) validate(received *model.Request, facts Facts) (openRequest, model.Reason, bool) {
+func (s State) validate(received *model.Request, view View) (openRequest, model.Reason, bool) {
 	req := openRequest{received: received}
 	switch {
 	case s.draining:
 		return req, model.Draining, false
-	case !facts.Fresh:
+	case !view.Fresh:
 		return req, model.NotFresh, false
 	case s.open.Len() >= s.maxOpen:
 		return req, model.Overloaded, false
 	}
 	open := false
 	if received.Kind == model.RequestPlain {
-		route, ok := facts.Conf.Route(received.Path)
+		route, ok := view.Conf.Route(received.Path)
 		if !ok {
 			return req, model.UnknownRoute, false
 		}
@@ -51,20 +51,20 @@
 		open = route.Open
 	}
 	if !open {
-		reason, ok := req.authorize(received, facts.Conf)
+		reason, ok := req.authorize(received, view.Conf)
 		if !ok {
 			return req, reason, false
 		}
 	}
 	if received.Kind == model.RequestChat {
-		if _, ok := facts.Conf.Model(received.Model); !ok {
+		if _, ok := view.Conf.Model(received.Model); !ok {
 			return req, model.UnknownModel, false
 		}
 	}
 	if req.needsClaim && received.IdempotencyKey == "" {
 		return req, model.MissingIdempotencyKey, false
 	}
-	if s.crashes.Verdict(received.Fingerprint, facts.At) == crash.Refuse {
+	if s.crashes.Verdict(received.Fingerprint, view.At) == crash.Refuse {
 		return req, model.CrashSuspect, false
 	}
 	return req, 0, true
@@ -96,20 +96,20 @@
 	return 0, true
 }
 
-func (s State) handleAdmissionGranted(ticket model.Ticket, facts Facts, out *Out) State {
+func (s State) handleAdmissionGranted(ticket model.Ticket, view View, out *Out) State {
 	req, ok := s.open.Get(ticket)
 	if !ok {
 		return s
 	}
-	return s.continueAdmitted(ticket, req, facts, out)
+	return s.continueAdmitted(ticket, req, view, out)
 }
 
-func (s State) handleClaimWon(ticket model.Ticket, facts Facts, out *Out) State {
+func (s State) handleClaimWon(ticket model.Ticket, view View, out *Out) State {
 	req, ok := s.open.Get(ticket)
 	if !ok {
 		return s
 	}
-	return s.dispatch(ticket, req, facts, out)
+	return s.dispatch(ticket, req, view, out)
 }
 
 func (s State) handleClaimRefused(e event.ClaimRefused, out *Out) State {
@@ -139,9 +139,9 @@
 
 // continueAdmitted continues a request that was admitted or needs no admission.
 // The request may not be in the map of open requests yet.
-func (s State) continueAdmitted(ticket model.Ticket, req openRequest, facts Facts, out *Out) State {
+func (s State) continueAdmitted(ticket model.Ticket, req openRequest, view View, out *Out) State {
 	if !req.needsClaim {
-		return s.dispatch(ticket, req, facts, out)
+		return s.dispatch(ticket, req, view, out)
 	}
 	req.phase = claiming
 	s.open = s.open.Set(ticket, req)
--- a/core/flow/attempt.go
+++ b/core/flow/attempt.go
@@ -10,26 +10,26 @@
 // dispatch sends the request to an upstream that has not been tried yet, or
 // queues it. It checks freshness again, because a node that is not fresh may
 // have missed that the request's key was withdrawn after the request arrived.
-func (s State) dispatch(ticket model.Ticket, req openRequest, facts Facts, out *Out) State {
-	if !facts.Fresh {
+func (s State) dispatch(ticket model.Ticket, req openRequest, view View, out *Out) State {
+	if !view.Fresh {
 		return s.fail(ticket, req, newRefusal(model.NotFresh, model.NotRun, retryAfterSeconds(model.NotFresh)), out)
 	}
-	if s.crashes.Verdict(req.received.Fingerprint, facts.At) == crash.Refuse {
+	if s.crashes.Verdict(req.received.Fingerprint, view.At) == crash.Refuse {
 		return s.fail(ticket, req, newRefusal(model.CrashSuspect, model.NotRun, retryAfterSeconds(model.CrashSuspect)), out)
 	}
 	if req.upstream != "" {
 		req.tried = append(req.tried[:len(req.tried):len(req.tried)], req.upstream)
 		req.upstream = ""
 	}
-	upstream, ok := s.place(req, facts)
+	upstream, ok := s.place(req, view)
 	if !ok {
-		return s.enqueue(ticket, req, facts, out)
+		return s.enqueue(ticket, req, view, out)
 	}
-	return s.startAttempt(ticket, req, upstream, facts, out)
+	return s.startAttempt(ticket, req, upstream, view, out)
 }
 
 // startAttempt starts the next attempt of a request at an upstream.
-func (s State) startAttempt(ticket model.Ticket, req openRequest, upstream model.Upstream, facts Facts, out *Out) State {
+func (s State) startAttempt(ticket model.Ticket, req openRequest, upstream model.Upstream, view View, out *Out) State {
 	req.phase = running
 	req.attempt++
 	req.crashCounted = false
@@ -37,12 +37,12 @@
 	s.open = s.open.Set(ticket, req)
 	load, _ := s.loads.Get(upstream.Name)
 	load.running++
-	if s.crashes.Verdict(req.received.Fingerprint, facts.At) == crash.Alone {
+	if s.crashes.Verdict(req.received.Fingerprint, view.At) == crash.Alone {
 		load.exclusive, load.exclusiveTicket = true, ticket
 	}
 	s.loads = s.loads.Set(upstream.Name, load)
 	if req.cheapShare > 0 {
-		s.shares = s.shares.WithWork(req.account, facts.At, estimateCost(req.received), upstream.Cheap)
+		s.shares = s.shares.WithWork(req.account, view.At, estimateCost(req.received), upstream.Cheap)
 	}
 	out.Emit(effect.Dispatch{
 		Ticket:     ticket,
@@ -55,7 +55,7 @@
 	return s
 }
 
-func (s State) handleAttemptEnded(e event.AttemptEnded, facts Facts, out *Out) State {
+func (s State) handleAttemptEnded(e event.AttemptEnded, view View, out *Out) State {
 	req, ok := s.open.Get(e.Ticket)
 	if !ok || req.phase != running || e.Attempt != req.attempt {
 		return s
@@ -63,8 +63,8 @@
 	// An engine that breaks a stream and then accepts no connection has terminated, even
 	// if it still accepted the one that followed the broken stream.
 	crashed := e.Crashed || req.resumed && e.Outcome == model.NotSent
-	if crashed && !req.crashCounted && !s.expectedExit(req.upstream, facts.Conf) {
-		s = s.countCrash(req.upstream, facts, out)
+	if crashed && !req.crashCounted && !s.expectedExit(req.upstream, view.Conf) {
+		s = s.countCrash(req.upstream, view, out)
 	}
 	load, _ := s.loads.Get(req.upstream)
 	load.running--
@@ -72,16 +72,16 @@
 		load.exclusive = false
 	}
 	if e.Outcome == model.Rejected {
-		load.fullUntil = facts.At.Add(fullBackoff)
+		load.fullUntil = view.At.Add(fullBackoff)
 	}
-	s = s.withLoad(req.upstream, load, facts.At)
-	s = s.afterAttempt(e, req, facts, out)
-	return s.dispatchQueued(facts, out)
+	s = s.withLoad(req.upstream, load, view.At)
+	s = s.afterAttempt(e, req, view, out)
+	return s.dispatchQueued(view, out)
 }
 
 // afterAttempt completes, retries, resumes or fails a request whose attempt has
 // ended.
-func (s State) afterAttempt(e event.AttemptEnded, req openRequest, facts Facts, out *Out) State {
+func (s State) afterAttempt(e event.AttemptEnded, req openRequest, view View, out *Out) State {
 	req.mayHaveRun = req.mayHaveRun || e.Outcome == model.Broken || e.Outcome == model.CallerLeft
 	if e.Outcome == model.Completed {
 		return s.complete(e, req, out)
@@ -90,17 +90,17 @@
 		return s.fail(e.Ticket, req, newRefusal(model.UpstreamLost, model.OutcomeUnknown, 0), out)
 	}
 	if req.resumedTokens > 0 || e.TokensPassed > 0 {
-		return s.resumeStream(e, req, facts, out)
+		return s.resumeStream(e, req, view, out)
 	}
 	notRun := e.Outcome == model.NotSent || e.Outcome == model.Rejected
 	mayRepeat := notRun || !req.needsClaim
 	if mayRepeat && req.attempt < maxAttempts {
 		var ok bool
-		if s.retries, ok = s.retries.WithRetry(facts.At); !ok {
+		if s.retries, ok = s.retries.WithRetry(view.At); !ok {
 			return s.fail(e.Ticket, req, newRefusal(model.RetryBudgetSpent, model.NotRun, 1), out)
 		}
 		out.Emit(effect.CountRetry{Reason: retryReason(e.Outcome)})
-		return s.dispatch(e.Ticket, req, facts, out)
+		return s.dispatch(e.Ticket, req, view, out)
 	}
 	if notRun {
 		return s.fail(e.Ticket, req, newRefusal(model.UpstreamLost, model.NotRun, 1), out)
@@ -112,28 +112,28 @@
 // engine that generated it may still hold the tokens. Otherwise another engine
 // generates the response again, and the caller receives the remainder if the
 // regenerated beginning matches what it already has.
-func (s State) resumeStream(e event.AttemptEnded, req openRequest, facts Facts, out *Out) State {
+func (s State) resumeStream(e event.AttemptEnded, req openRequest, view View, out *Out) State {
 	if req.needsClaim || !req.received.Stream || req.attempt >= maxAttempts {
 		return s.fail(e.Ticket, req, newRefusal(model.StreamTruncated, model.OutcomeUnknown, 0), out)
 	}
 	var ok bool
-	if s.retries, ok = s.retries.WithRetry(facts.At); !ok {
+	if s.retries, ok = s.retries.WithRetry(view.At); !ok {
 		return s.fail(e.Ticket, req, newRefusal(model.RetryBudgetSpent, model.OutcomeUnknown, 1), out)
 	}
 	progress := e.TokensPassed > req.resumedTokens
 	req.resumedTokens = e.TokensPassed
-	upstream, ok := facts.Conf.Upstream(req.upstream)
+	upstream, ok := view.Conf.Upstream(req.upstream)
 	gone := !ok || e.Crashed || e.Outcome == model.Rejected || e.Outcome == model.NotSent ||
 		req.resumed && !progress || s.onReclaimedVM(upstream.Address) ||
-		s.crashes.Verdict(req.received.Fingerprint, facts.At) == crash.Refuse
+		s.crashes.Verdict(req.received.Fingerprint, view.At) == crash.Refuse
 	if gone || req.regenerate {
 		req.regenerate, req.resumed = true, false
 		out.Emit(effect.CountRetry{Reason: model.RetryRegenerated})
-		return s.dispatch(e.Ticket, req, facts, out)
+		return s.dispatch(e.Ticket, req, view, out)
 	}
 	req.resumed = true
 	out.Emit(effect.CountRetry{Reason: model.RetryResumed})
-	return s.startAttempt(e.Ticket, req, upstream, facts, out)
+	return s.startAttempt(e.Ticket, req, upstream, view, out)
 }
 
 func (s State) complete(e event.AttemptEnded, req openRequest, out *Out) State {
--- a/core/flow/crash.go
+++ b/core/flow/crash.go
@@ -19,7 +19,7 @@
 
 // countCrash counts the crash of an upstream once for each request that was
 // running there.
-func (s State) countCrash(name model.UpstreamName, facts Facts, out *Out) State {
+func (s State) countCrash(name model.UpstreamName, view View, out *Out) State {
 	var fingerprints []uint64
 	for itr := s.open.Iterator(); !itr.Done(); {
 		ticket, req, _ := itr.Next()
@@ -30,7 +30,7 @@
 		s.open = s.open.Set(ticket, req)
 		fingerprints = append(fingerprints, req.received.Fingerprint)
 	}
-	s.crashes = s.crashes.WithCrash(fingerprints, facts.At)
+	s.crashes = s.crashes.WithCrash(fingerprints, view.At)
 	out.Raise(event.CrashCountsChanged{Counts: s.crashes.Own(), Increased: true})
 	return s
 }
--- a/core/flow/crash_test.go
+++ b/core/flow/crash_test.go
@@ -45,7 +45,7 @@
 	for pending := []event.Event{e}; len(pending) > 0; pending = pending[1:] {
 		var out Out
 		in := step.Input[event.Event]{At: h.at, Event: pending[0]}
-		h.state, out = h.state.Apply(in, Facts{Conf: h.conf, Fresh: true, At: h.at})
+		h.state, out = h.state.Apply(in, View{Conf: h.conf, Fresh: true, At: h.at})
 		for _, raised := range out.Raised {
 			if asked, ok := raised.(event.AdmissionAsked); ok {
 				pending = append(pending, event.AdmissionGranted{Ticket: asked.Ticket})
@@ -174,7 +174,7 @@
 func TestCallerGoneWhileClaiming(t *testing.T) {
 	s := New(1024)
 	s.open = s.open.Set(1, openRequest{phase: claiming, needsClaim: true})
-	s, out := s.Apply(step.Input[event.Event]{At: startTime, Event: event.CallerGone{Ticket: 1}}, Facts{Conf: conf.New()})
+	s, out := s.Apply(step.Input[event.Event]{At: startTime, Event: event.CallerGone{Ticket: 1}}, View{Conf: conf.New()})
 	if diff := cmp.Diff([]event.Event{event.ClaimEnded{Ticket: 1, NotRun: true}}, out.Raised); diff != "" {
 		t.Errorf("raised events: %s", diff)
 	}
--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -25,9 +25,9 @@
 // Out holds the effects and events that one Apply call produces.
 type Out = step.Out[event.Event, effect.Effect]
 
-// Facts is the state of other components that Apply reads, with the time and the
+// View is the state of other components that Apply reads, with the time and the
 // random number of the event.
-type Facts struct {
+type View struct {
 	Conf conf.State
 	// Fresh reports whether the configuration of this node is recent enough to
 	// admit requests.
@@ -140,29 +140,29 @@
 
 // Apply processes arriving requests, the decisions about their admission and
 // claims, the ends of their attempts, and changes that concern open requests.
-func (s State) Apply(in step.Input[event.Event], facts Facts) (State, Out) {
+func (s State) Apply(in step.Input[event.Event], view View) (State, Out) {
 	var out Out
 	if granted, ok := in.Event.(event.AdmissionGranted); ok && s.arrival != nil && granted.Ticket == s.arrival.ticket {
 		req := s.arrival.request
 		s.arrival = nil
-		return s.continueAdmitted(granted.Ticket, req, facts, &out), out
+		return s.continueAdmitted(granted.Ticket, req, view, &out), out
 	}
 	s = s.withArrivalStored()
 	switch e := in.Event.(type) {
 	case event.RequestArrived:
-		s = s.handleRequestArrived(e, facts, &out)
+		s = s.handleRequestArrived(e, view, &out)
 	case event.AdmissionGranted:
-		s = s.handleAdmissionGranted(e.Ticket, facts, &out)
+		s = s.handleAdmissionGranted(e.Ticket, view, &out)
 	case event.AdmissionRefused:
 		s = s.refuse(e.Ticket, newRefusal(e.Reason, model.NotRun, e.RetryAfterSeconds), &out)
 	case event.ClaimWon:
-		s = s.handleClaimWon(e.Ticket, facts, &out)
+		s = s.handleClaimWon(e.Ticket, view, &out)
 	case event.ClaimRefused:
 		s = s.handleClaimRefused(e, &out)
 	case event.ClaimRecorded:
 		s = s.finish(e.Ticket, &out)
 	case event.AttemptEnded:
-		s = s.handleAttemptEnded(e, facts, &out)
+		s = s.handleAttemptEnded(e, view, &out)
 	case event.CallerGone:
 		s = s.handleCallerGone(e.Ticket, &out)
 	case event.CrashCountsArrived:
@@ -172,11 +172,11 @@
 	case event.KeyChanged:
 		s = s.handleKeyChanged(e, &out)
 	case event.Tick:
-		s = s.refuseOverdue(facts, &out).expireCrashCounts(in.At, &out)
+		s = s.refuseOverdue(view, &out).expireCrashCounts(in.At, &out)
 	case event.VMsListed:
 		s = s.withReclaimedVMs(e.Leaving)
 	case event.UpstreamChanged:
-		s = s.dispatchQueued(facts, &out)
+		s = s.dispatchQueued(view, &out)
 	}
 	return s, out
 }
--- a/core/flow/flow_test.go
+++ b/core/flow/flow_test.go
@@ -97,9 +97,9 @@
 }
 
 func (h *history) apply(t *rapid.T, e event.Event) {
-	facts := Facts{Conf: h.conf, Fresh: !h.stale, At: h.at, Random: rapid.Uint64().Draw(t, "random")}
+	view := View{Conf: h.conf, Fresh: !h.stale, At: h.at, Random: rapid.Uint64().Draw(t, "random")}
 	var out Out
-	h.state, out = h.state.Apply(step.Input[event.Event]{At: h.at, Event: e}, facts)
+	h.state, out = h.state.Apply(step.Input[event.Event]{At: h.at, Event: e}, view)
 	for _, e := range out.Effects {
 		h.checkEffect(t, e)
 	}
--- a/core/flow/place.go
+++ b/core/flow/place.go
@@ -71,14 +71,14 @@
 }
 
 // place selects the upstream for the next attempt of a request.
-func (s State) place(req openRequest, facts Facts) (model.Upstream, bool) {
-	suspect := s.crashes.Verdict(req.received.Fingerprint, facts.At) == crash.Alone
-	eligible := &eligibility{s.loads, s.reclaimedVMs, req.tried, facts.At, suspect, s.mayUseCheap(req, facts.At)}
-	var list place.List[candidate] = modelUpstreams{facts.Conf.UpstreamsOf(req.received.Model), eligible}
+func (s State) place(req openRequest, view View) (model.Upstream, bool) {
+	suspect := s.crashes.Verdict(req.received.Fingerprint, view.At) == crash.Alone
+	eligible := &eligibility{s.loads, s.reclaimedVMs, req.tried, view.At, suspect, s.mayUseCheap(req, view.At)}
+	var list place.List[candidate] = modelUpstreams{view.Conf.UpstreamsOf(req.received.Model), eligible}
 	if req.received.Kind == model.RequestPlain {
-		list = routeUpstreams{req.routeUpstreams, facts.Conf, eligible}
+		list = routeUpstreams{req.routeUpstreams, view.Conf, eligible}
 	}
-	i, ok := placementPolicy.Pick(list, firstPrefixHash(req.received), facts.Random)
+	i, ok := placementPolicy.Pick(list, firstPrefixHash(req.received), view.Random)
 	if !ok {
 		return model.Upstream{}, false
 	}
--- a/core/flow/wait.go
+++ b/core/flow/wait.go
@@ -52,9 +52,9 @@
 
 // enqueue queues a request until an upstream has room. No upstream has run any
 // part of it: it was not sent, or it was rejected.
-func (s State) enqueue(ticket model.Ticket, req openRequest, facts Facts, out *Out) State {
+func (s State) enqueue(ticket model.Ticket, req openRequest, view View, out *Out) State {
 	full := s.queue.LenOf(req.account) >= maxQueuedPerAccount
-	if full || !facts.At.Before(req.received.AdmitBy) || !s.hasUpstreams(req, facts) {
+	if full || !view.At.Before(req.received.AdmitBy) || !s.hasUpstreams(req, view) {
 		return s.fail(ticket, req, newRefusal(model.NoUpstream, model.NotRun, 1), out)
 	}
 	req.phase = waiting
@@ -62,31 +62,31 @@
 	req.tried = nil
 	s.open = s.open.Set(ticket, req)
 	s.queue = s.queue.WithItem(req.account, fair.Item[model.Ticket]{
-		Value: ticket, Cost: estimateCost(req.received), Priority: req.priority, QueuedAt: facts.At,
+		Value: ticket, Cost: estimateCost(req.received), Priority: req.priority, QueuedAt: view.At,
 	})
 	s.deadlines = s.deadlines.Set(deadline{req.received.AdmitBy, ticket}, struct{}{})
-	s.queueRetryAt = facts.At.Add(fullBackoff)
+	s.queueRetryAt = view.At.Add(fullBackoff)
 	return s
 }
 
 // hasUpstreams reports whether any upstream is configured for the request,
 // whether or not it has room now.
-func (s State) hasUpstreams(req openRequest, facts Facts) bool {
+func (s State) hasUpstreams(req openRequest, view View) bool {
 	if req.received.Kind == model.RequestChat {
-		return len(facts.Conf.UpstreamsOf(req.received.Model)) > 0
+		return len(view.Conf.UpstreamsOf(req.received.Model)) > 0
 	}
 	return len(req.routeUpstreams) > 0
 }
 
 // dispatchQueued sends queued requests to upstreams that have room.
-func (s State) dispatchQueued(facts Facts, out *Out) State {
+func (s State) dispatchQueued(view View, out *Out) State {
 	if s.queue.Len() == 0 {
 		return s
 	}
 	for {
-		owner, item, ok := s.queue.Next(facts.At, func(ticket model.Ticket) bool {
+		owner, item, ok := s.queue.Next(view.At, func(ticket model.Ticket) bool {
 			req, _ := s.open.Get(ticket)
-			_, usable := s.place(req, facts)
+			_, usable := s.place(req, view)
 			return usable
 		})
 		if !ok {
@@ -95,31 +95,31 @@
 		req, _ := s.open.Get(item.Value)
 		s.queue = s.queue.WithServed(owner)
 		s.deadlines = s.deadlines.Delete(deadline{req.received.AdmitBy, item.Value})
-		s = s.dispatch(item.Value, req, facts, out)
+		s = s.dispatch(item.Value, req, view, out)
 	}
 	s.queueRetryAt = time.Time{}
 	if s.queue.Len() > 0 {
-		s.queueRetryAt = facts.At.Add(fullBackoff)
+		s.queueRetryAt = view.At.Add(fullBackoff)
 	}
 	return s
 }
 
 // refuseOverdue refuses the queued requests whose deadline has passed, and
 // processes the queue if it is due.
-func (s State) refuseOverdue(facts Facts, out *Out) State {
+func (s State) refuseOverdue(view View, out *Out) State {
 	for itr := s.deadlines.Iterator(); !itr.Done(); {
 		due, _, _ := itr.Next()
-		if due.at.After(facts.At) {
+		if due.at.After(view.At) {
 			break
 		}
 		req, _ := s.open.Get(due.ticket)
 		s = s.dequeue(due.ticket, req)
 		s = s.fail(due.ticket, req, newRefusal(model.NoUpstream, model.NotRun, 1), out)
 	}
-	if s.queueRetryAt.IsZero() || facts.At.Before(s.queueRetryAt) {
+	if s.queueRetryAt.IsZero() || view.At.Before(s.queueRetryAt) {
 		return s
 	}
-	return s.withoutIdle(facts.At).dispatchQueued(facts, out)
+	return s.withoutIdle(view.At).dispatchQueued(view, out)
 }
 
 // dequeue removes a request from the queue if it is waiting.
--- a/core/limit/bench_test.go
+++ b/core/limit/bench_test.go
@@ -26,7 +26,7 @@
 				state, now, names := benchState(count, rate)
 				var ticket model.Ticket
 				seq := uint64(1)
-				fresh := Facts{Fresh: true}
+				fresh := View{Fresh: true}
 				apply := func(e event.Event) {
 					now = now.Add(5 * time.Microsecond)
 					state, _ = state.Apply(step.Input[event.Event]{At: now, Random: seq * 0x9e3779b97f4a7c15, Event: e}, fresh)
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -24,8 +24,8 @@
 // Out holds the effects and events that one Apply call produces.
 type Out = step.Out[event.Event, effect.Effect]
 
-// Facts is the state of other components that Apply reads.
-type Facts struct {
+// View is the state of other components that Apply reads.
+type View struct {
 	// Fresh reports whether the node's copy of the configuration is recent
 	// enough to admit requests and to lend.
 	Fresh bool
@@ -121,9 +121,9 @@
 // timers. VersionChanged needs no handler: a base share is the minimum over all
 // versions since the settled one, and templates and rosters carry their
 // versions themselves.
-func (s State) Apply(in step.Input[event.Event], facts Facts) (State, Out) {
+func (s State) Apply(in step.Input[event.Event], view View) (State, Out) {
 	var out Out
-	sc := stepContext{at: in.At, random: in.Random, fresh: facts.Fresh, out: &out}
+	sc := stepContext{at: in.At, random: in.Random, fresh: view.Fresh, out: &out}
 	deadlines, dues := s.deadlines, s.accountTimers
 	switch e := in.Event.(type) {
 	case event.AdmissionAsked:
--- a/core/limit/region_test.go
+++ b/core/limit/region_test.go
@@ -94,7 +94,7 @@
 	r.randomState = r.randomState*6364136223846793005 + 1442695040888963407
 	in := step.Input[event.Event]{At: r.clock(n), Random: r.randomState ^ r.randomState>>29, Event: e}
 	var out Out
-	n.state, out = n.state.Apply(in, Facts{Fresh: r.fresh(n)})
+	n.state, out = n.state.Apply(in, View{Fresh: r.fresh(n)})
 	for _, f := range out.Effects {
 		switch f := f.(type) {
 		case effect.Borrow:
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -172,7 +172,7 @@
 		all = all.With(out)
 	}
 	if to.has(toLimit) {
-		s.limit, out = s.limit.Apply(in, limit.Facts{Fresh: s.peers.Fresh(in.At)})
+		s.limit, out = s.limit.Apply(in, limit.View{Fresh: s.peers.Fresh(in.At)})
 		all = all.With(out)
 	}
 	if to.has(toClaim) {
@@ -194,7 +194,7 @@
 		all = all.With(out)
 	}
 	if to.has(toFlow) {
-		s.flow, out = s.flow.Apply(in, flow.Facts{Conf: *s.conf, Fresh: s.peers.Fresh(in.At), Random: in.Random, At: in.At})
+		s.flow, out = s.flow.Apply(in, flow.View{Conf: *s.conf, Fresh: s.peers.Fresh(in.At), Random: in.Random, At: in.At})
 		all = all.With(out)
 	}
 	return s, all
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -73,8 +73,8 @@
 	nextCallAt    time.Time
 }
 
-// Facts is the state of other components that Apply reads.
-type Facts struct {
+// View is the state of other components that Apply reads.
+type View struct {
 	// WallTime is the wall-clock time of the event, as well as it is known.
 	WallTime time.Time
 	// WritesRecords reports whether this node is one of those that write records.
@@ -99,9 +99,9 @@
 
 // Apply processes requests for units, reports of peers and responses of the
 // store.
-func (s State) Apply(in step.Input[event.Event], facts Facts) (State, Out) {
+func (s State) Apply(in step.Input[event.Event], view View) (State, Out) {
 	var out Out
-	s = s.handleStoreResponse(in, facts)
+	s = s.handleStoreResponse(in, view)
 	switch e := in.Event.(type) {
 	case event.SettingsChanged:
 		s.bounds = e.Bounds
@@ -124,7 +124,7 @@
 			s = s.withProcessesStopped(e.Peer, 0)
 		}
 	}
-	return s.startDueCall(in.At, facts, &out), out
+	return s.startDueCall(in.At, view, &out), out
 }
 
 // Totals returns the admissions of this node for all accounts, for a full report
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -47,7 +47,7 @@
 	pending := []event.Event{e}
 	for len(pending) > 0 {
 		var out quota.Out
-		n.state, out = n.state.Apply(step.Input[event.Event]{At: now, Event: pending[0]}, quota.Facts{WallTime: now, WritesRecords: true})
+		n.state, out = n.state.Apply(step.Input[event.Event]{At: now, Event: pending[0]}, quota.View{WallTime: now, WritesRecords: true})
 		pending = pending[1:]
 		raised = append(raised, out.Raised...)
 		for _, f := range out.Effects {
--- a/core/quota/record.go
+++ b/core/quota/record.go
@@ -35,7 +35,7 @@
 }
 
 // handleStoreResponse handles the response to a call to the store.
-func (s State) handleStoreResponse(in step.Input[event.Event], facts Facts) State {
+func (s State) handleStoreResponse(in step.Input[event.Event], view View) State {
 	switch e := in.Event.(type) {
 	case event.ObjectsListed:
 		if s.listing && e.Op == s.lastOp() {
@@ -43,7 +43,7 @@
 			s.nextCallAt = in.At.Add(writeInterval)
 			for _, object := range e.Objects {
 				if stored, ok := object.Value.(model.QuotaRecord); ok {
-					s = s.withRecord(stored, in.At, facts.WallTime)
+					s = s.withRecord(stored, in.At, view.WallTime)
 				}
 			}
 			return s
@@ -111,7 +111,7 @@
 
 // startDueCall starts the call to the store that is due: it lists the records
 // once, and then writes the record of this node at intervals.
-func (s State) startDueCall(at time.Time, facts Facts, out *Out) State {
+func (s State) startDueCall(at time.Time, view View, out *Out) State {
 	if s.listing || s.storedRecord.InFlight() || at.Before(s.nextCallAt) {
 		return s
 	}
@@ -122,7 +122,7 @@
 		return s
 	}
 	s.nextCallAt = at.Add(writeInterval)
-	if !facts.WritesRecords {
+	if !view.WritesRecords {
 		return s
 	}
 	accounts := s.accountsNearLimit(at)
@@ -132,7 +132,7 @@
 	var call effect.Effect
 	s.callSeq++
 	if s.storedRecord.Valid() {
-		s.storedRecord, call = s.storedRecord.Write(s.lastOp(), model.QuotaRecord{At: facts.WallTime, Accounts: accounts}, "")
+		s.storedRecord, call = s.storedRecord.Write(s.lastOp(), model.QuotaRecord{At: view.WallTime, Accounts: accounts}, "")
 	} else {
 		s.storedRecord, call = s.storedRecord.Read(s.lastOp())
 	}
--- a/core/scaler/demand.go
+++ b/core/scaler/demand.go
@@ -95,10 +95,10 @@
 
 // withCurrentLoad includes what arrived since the last call in the smoothed demand
 // for a service.
-func (s State) withCurrentLoad(at time.Time, service model.ServiceName, facts Facts) State {
+func (s State) withCurrentLoad(at time.Time, service model.ServiceName, view View) State {
 	running := 0
-	for _, name := range facts.Fleet.ActiveUpstreams(service) {
-		if u, found := facts.Fleet.Get(name); found {
+	for _, name := range view.Fleet.ActiveUpstreams(service) {
+		if u, found := view.Fleet.Get(name); found {
 			running += u.RunningRequests()
 		}
 	}
@@ -116,23 +116,23 @@
 
 // split returns the numbers of engines that the demand needs for prompts and for
 // generating tokens.
-func (l load) split(service model.Service, facts Facts) (prefill, decode float64) {
+func (l load) split(service model.Service, view View) (prefill, decode float64) {
 	slots := 1
-	if names := facts.Fleet.ActiveUpstreams(service.Name); len(names) > 0 {
-		if u, found := facts.Fleet.Get(names[0]); found {
+	if names := view.Fleet.ActiveUpstreams(service.Name); len(names) > 0 {
+		if u, found := view.Fleet.Get(names[0]); found {
 			slots = max(1, u.Slots)
 		}
 	}
-	prefill = l.promptRate * facts.Fleet.ServiceTokenTime(service.Name).Seconds() / prefillFill
+	prefill = l.promptRate * view.Fleet.ServiceTokenTime(service.Name).Seconds() / prefillFill
 	return prefill, l.running / (float64(slots) * decodeFill)
 }
 
 // prefillEngines returns the number of n engines of a service that should compute
 // prompts. Engines that the demand does not need are divided evenly between the
 // roles. If there are too few engines, both roles are equally overloaded.
-func (s State) prefillEngines(service model.Service, n int, facts Facts) float64 {
+func (s State) prefillEngines(service model.Service, n int, view View) float64 {
 	l, _ := s.loads.Get(service.Name)
-	prefill, decode := l.split(service, facts)
+	prefill, decode := l.split(service, view)
 	needed, all := prefill+decode, float64(n)
 	switch {
 	case needed < minDemand:
--- a/core/scaler/roles.go
+++ b/core/scaler/roles.go
@@ -31,13 +31,13 @@
 
 // planRoles sends the role orders that bring the engines of a service to the share
 // of prefill engines that the demand needs.
-func (s State) planRoles(at time.Time, service model.Service, facts Facts, out *Out) State {
-	engines, prefill, changing := s.roleCandidates(at, service.Name, facts)
+func (s State) planRoles(at time.Time, service model.Service, view View, out *Out) State {
+	engines, prefill, changing := s.roleCandidates(at, service.Name, view)
 	n := len(engines)
 	if n < 2 {
 		return s
 	}
-	ideal := s.prefillEngines(service, n, facts)
+	ideal := s.prefillEngines(service, n, view)
 	target := min(max(int(math.Round(ideal)), 1), n-1)
 	if math.Abs(float64(prefill)-ideal) < max(1, roleTolerance*float64(n)) && prefill > 0 && prefill < n {
 		return s
@@ -69,9 +69,9 @@
 
 // roleCandidates returns the engines of a service, the number of those that have or
 // will have the prefill role, and the number of those that change their role now.
-func (s State) roleCandidates(at time.Time, service model.ServiceName, facts Facts) (engines []roleCandidate, prefill, changing int) {
-	for _, name := range facts.Fleet.ActiveUpstreams(service) {
-		u, found := facts.Fleet.Get(name)
+func (s State) roleCandidates(at time.Time, service model.ServiceName, view View) (engines []roleCandidate, prefill, changing int) {
+	for _, name := range view.Fleet.ActiveUpstreams(service) {
+		u, found := view.Fleet.Get(name)
 		if !found || u.Leaving() {
 			continue
 		}
@@ -135,7 +135,7 @@
 
 // handleRoleResponse schedules the next order to an engine: after a failed one
 // as a retry, after an accepted one once the role had time to change.
-func (s State) handleRoleResponse(op model.Op, accepted bool, at time.Time, facts Facts) State {
+func (s State) handleRoleResponse(op model.Op, accepted bool, at time.Time, view View) State {
 	for itr := s.roleOrders.Iterator(); !itr.Done(); {
 		name, sent, _ := itr.Next()
 		if sent.op != op || !sent.pending {
@@ -143,8 +143,8 @@
 		}
 		sent.pending = false
 		sent.nextAt = at.Add(retryDelay)
-		if u, found := facts.Fleet.Get(name); found && accepted {
-			sent.nextAt = at.Add(facts.Site.Site().Services[u.Service].RoleChangeTime + roleChangeMargin)
+		if u, found := view.Fleet.Get(name); found && accepted {
+			sent.nextAt = at.Add(view.Site.Site().Services[u.Service].RoleChangeTime + roleChangeMargin)
 		}
 		s.roleOrders = s.roleOrders.Set(name, sent)
 		return s
--- a/core/scaler/scaler.go
+++ b/core/scaler/scaler.go
@@ -36,8 +36,8 @@
 // Out holds the effects and events that one Apply call produces.
 type Out = step.Out[event.Event, effect.Effect]
 
-// Facts is the state of other components that Apply reads.
-type Facts struct {
+// View is the state of other components that Apply reads.
+type View struct {
 	Site  site.State
 	Fleet fleet.State
 }
@@ -126,7 +126,7 @@
 
 // Apply processes changes of the lease, demand and the responses to orders, and
 // sends the orders that are due.
-func (s State) Apply(in step.Input[event.Event], facts Facts) (State, Out) {
+func (s State) Apply(in step.Input[event.Event], view View) (State, Out) {
 	var out Out
 	switch e := in.Event.(type) {
 	case event.AuthorityChanged:
@@ -142,18 +142,18 @@
 	case event.SyncArrived:
 		s = s.withPeerDemand(e.Report)
 	case event.ScaleAnswered:
-		s = s.handleScaleResponse(e.Op, e.Result == model.SendAccepted, in.At, facts)
+		s = s.handleScaleResponse(e.Op, e.Result == model.SendAccepted, in.At, view)
 	case event.RoleAnswered:
-		s = s.handleRoleResponse(e.Op, e.Result == model.SendAccepted, in.At, facts)
+		s = s.handleRoleResponse(e.Op, e.Result == model.SendAccepted, in.At, view)
 		if e.Result != model.SendAccepted && e.Known {
 			out.Raise(event.RoleOrdered{Change: model.RoleChange{Upstream: e.Upstream, To: e.Role}})
 		}
 	case event.SendFailed:
-		s = s.handleScaleResponse(e.Op, false, in.At, facts).handleRoleResponse(e.Op, false, in.At, facts)
+		s = s.handleScaleResponse(e.Op, false, in.At, view).handleRoleResponse(e.Op, false, in.At, view)
 	}
-	if s.holdsLease && in.At.Before(s.leaseUntil) && !in.At.Before(s.nextPlanAt) && facts.Site.HasConfig() && facts.Fleet.Listed() {
+	if s.holdsLease && in.At.Before(s.leaseUntil) && !in.At.Before(s.nextPlanAt) && view.Site.HasConfig() && view.Fleet.Listed() {
 		s.nextPlanAt = in.At.Add(planInterval)
-		s = s.plan(in.At, facts, &out)
+		s = s.plan(in.At, view, &out)
 	}
 	return s, out
 }
@@ -192,15 +192,15 @@
 }
 
 // plan sends the orders that bring the fleet to its planned size and roles.
-func (s State) plan(at time.Time, facts Facts, out *Out) State {
-	services := facts.Site.Site().Services
+func (s State) plan(at time.Time, view View, out *Out) State {
+	services := view.Site.Site().Services
 	for _, name := range slices.Sorted(maps.Keys(services)) {
 		service := services[name]
 		if service.Scaling.Max > 0 {
-			s = s.planScale(at, name, service, facts, out)
+			s = s.planScale(at, name, service, view, out)
 		}
 		if service.Engine {
-			s = s.withCurrentLoad(at, name, facts).planRoles(at, service, facts, out)
+			s = s.withCurrentLoad(at, name, view).planRoles(at, service, view, out)
 		}
 	}
 	return s
@@ -211,15 +211,15 @@
 // are released once the cheap ones are present, or at once while there is no
 // work.
 func (s State) planScale(
-	at time.Time, name model.ServiceName, service model.Service, facts Facts, out *Out,
+	at time.Time, name model.ServiceName, service model.Service, view View, out *Out,
 ) State {
 	current := map[upstreamGroup]int{}
-	for _, u := range facts.Fleet.ActiveUpstreams(name) {
-		if upstream, found := facts.Fleet.Get(u); found {
+	for _, u := range view.Fleet.ActiveUpstreams(name) {
+		if upstream, found := view.Fleet.Get(u); found {
 			current[upstreamGroup{name, upstream.Zone, upstream.Cheap}]++
 		}
 	}
-	zones := facts.Fleet.ZonesByPrice(service.Scaling.Prices)
+	zones := view.Fleet.ZonesByPrice(service.Scaling.Prices)
 	minOrdinary := max(1, service.Scaling.Min)
 	maxCheap := min(service.Scaling.Max-minOrdinary, int(s.policy.CheapShare*float64(service.Scaling.Max)))
 	for _, zone := range zones {
@@ -260,7 +260,7 @@
 
 // handleScaleResponse schedules the next order for a group: after a failed one
 // as a retry, after an accepted one once the upstreams had time to start.
-func (s State) handleScaleResponse(op model.Op, accepted bool, at time.Time, facts Facts) State {
+func (s State) handleScaleResponse(op model.Op, accepted bool, at time.Time, view View) State {
 	for itr := s.scaleOrders.Iterator(); !itr.Done(); {
 		g, sent, _ := itr.Next()
 		if sent.op != op || !sent.pending {
@@ -269,7 +269,7 @@
 		sent.pending = false
 		sent.nextAt = at.Add(retryDelay)
 		if accepted {
-			sent.nextAt = at.Add(facts.Site.Site().Services[g.service].Scaling.Boot + bootMargin)
+			sent.nextAt = at.Add(view.Site.Site().Services[g.service].Scaling.Boot + bootMargin)
 		} else {
 			sent.count = -1
 		}
--- a/core/scaler/scaler_test.go
+++ b/core/scaler/scaler_test.go
@@ -96,7 +96,7 @@
 		events = events[1:]
 		sim.fleet, _ = sim.fleet.Apply(input)
 		var out scaler.Out
-		sim.scaler, out = sim.scaler.Apply(input, scaler.Facts{Site: sim.site, Fleet: sim.fleet})
+		sim.scaler, out = sim.scaler.Apply(input, scaler.View{Site: sim.site, Fleet: sim.fleet})
 		events = append(events, out.Raised...)
 		for _, f := range out.Effects {
 			switch f := f.(type) {
--- a/core/serve/admit.go
+++ b/core/serve/admit.go
@@ -11,30 +11,30 @@
 
 // handleSiteArrived looks up the route and the client account of a request, and
 // asks for its quota.
-func (s State) handleSiteArrived(e event.SiteArrived, facts Facts, out *Out) State {
+func (s State) handleSiteArrived(e event.SiteArrived, view View, out *Out) State {
 	if s.open.Len() >= maxOpen {
-		return s.decline(e.Ticket, model.Overloaded, facts.At.Add(refusedRetryDelay), out)
+		return s.decline(e.Ticket, model.Overloaded, view.At.Add(refusedRetryDelay), out)
 	}
-	if facts.RefusesRequests {
-		return s.decline(e.Ticket, model.Draining, facts.At, out)
+	if view.RefusesRequests {
+		return s.decline(e.Ticket, model.Draining, view.At, out)
 	}
 	request := e.Request
-	req, reason, ok := s.lookup(&request, facts)
+	req, reason, ok := s.lookup(&request, view)
 	if !ok {
 		retryAt := time.Time{}
 		if reason == model.NotFresh {
-			retryAt = facts.At.Add(staleRetryDelay)
+			retryAt = view.At.Add(staleRetryDelay)
 		}
 		return s.decline(e.Ticket, reason, retryAt, out)
 	}
-	if s.crashes.Verdict(request.Fingerprint, facts.At) != crash.Normal {
+	if s.crashes.Verdict(request.Fingerprint, view.At) != crash.Normal {
 		return s.decline(e.Ticket, model.CrashSuspect, time.Time{}, out)
 	}
-	if verdict := s.verdict(&request, facts); verdict.Part != 0 && !verdict.TrialDue {
+	if verdict := s.verdict(&request, view); verdict.Part != 0 && !verdict.TrialDue {
 		return s.declineHeld(e.Ticket, verdict, out)
 	}
 	req.units = req.account.Cost(request)
-	s.retries = s.retries.Set(req.service.Name, s.budget(req.service.Name, facts).WithRequest(facts.At))
+	s.retries = s.retries.Set(req.service.Name, s.budget(req.service.Name, view).WithRequest(view.At))
 	s.open = s.open.Set(e.Ticket, req)
 	out.Raise(event.QuotaAsked{Ticket: e.Ticket, Account: req.account, Units: req.units})
 	return s
@@ -43,9 +43,9 @@
 // lookup resolves the route, service and client account of a request, or
 // returns the reason to decline it. A node whose configuration may be out of
 // date reports NotFresh instead of an unknown route or key.
-func (s State) lookup(request *model.SiteRequest, facts Facts) (openRequest, model.Reason, bool) {
-	config, fresh := facts.Site.Site(), facts.Site.Fresh(facts.At)
-	if !facts.Initialized {
+func (s State) lookup(request *model.SiteRequest, view View) (openRequest, model.Reason, bool) {
+	config, fresh := view.Site.Site(), view.Site.Fresh(view.At)
+	if !view.Initialized {
 		return openRequest{}, model.NotFresh, false
 	}
 	reasonIfFresh := func(reason model.Reason) model.Reason {
@@ -62,7 +62,7 @@
 	if request.CallerDeadline.Before(req.deadline) {
 		req.deadline = request.CallerDeadline
 	}
-	if name, found := route.PickService(facts.Random); found {
+	if name, found := route.PickService(view.Random); found {
 		req.service = config.Services[name]
 	}
 	req.skipPrefill = !req.service.Engine
@@ -83,13 +83,13 @@
 
 // handleQuotaGranted dispatches a request that is within the quota of its
 // client account.
-func (s State) handleQuotaGranted(ticket model.Ticket, facts Facts, out *Out) State {
+func (s State) handleQuotaGranted(ticket model.Ticket, view View, out *Out) State {
 	req, found := s.open.Get(ticket)
 	if !found {
 		return s
 	}
 	req.admitted = true
-	return s.dispatch(ticket, req, facts, out)
+	return s.dispatch(ticket, req, view, out)
 }
 
 func (s State) handleQuotaRefused(e event.QuotaRefused, out *Out) State {
--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -29,41 +29,41 @@
 )
 
 // dispatch sends a request to the next upstream.
-func (s State) dispatch(ticket model.Ticket, req openRequest, facts Facts, out *Out) State {
-	if !facts.At.Before(req.deadline) {
+func (s State) dispatch(ticket model.Ticket, req openRequest, view View, out *Out) State {
+	if !view.At.Before(req.deadline) {
 		return s.failExpired(ticket, req, out)
 	}
-	if s.crashes.Verdict(req.received.Fingerprint, facts.At) != crash.Normal {
+	if s.crashes.Verdict(req.received.Fingerprint, view.At) != crash.Normal {
 		return s.refuse(ticket, req, model.CrashSuspect, time.Time{}, out)
 	}
-	if verdict := s.verdict(req.received, facts); verdict.Part != 0 && !req.trial {
-		return s.dispatchHeld(ticket, req, verdict, facts, out)
+	if verdict := s.verdict(req.received, view); verdict.Part != 0 && !req.trial {
+		return s.dispatchHeld(ticket, req, verdict, view, out)
 	}
 	if req.service.Engine {
-		return s.dispatchToEngine(ticket, req, facts, out)
+		return s.dispatchToEngine(ticket, req, view, out)
 	}
-	u, found := pickService(req, facts)
+	u, found := pickService(req, view)
 	if !found && req.silence.retryTaken {
 		u, found = req.silence.next, true
 	}
 	if !found {
-		return s.failUnplaced(ticket, req, model.NoUpstream, facts, out)
+		return s.failUnplaced(ticket, req, model.NoUpstream, view, out)
 	}
-	return s.startAttempt(ticket, req, model.StepRun, u, model.UpstreamUse{Runs: 1}, req.deadline, facts, out)
+	return s.startAttempt(ticket, req, model.StepRun, u, model.UpstreamUse{Runs: 1}, req.deadline, view, out)
 }
 
 // dispatchToEngine sends a request to an engine: for prefill only, for decoding
 // with a transferred KV cache, or for both.
-func (s State) dispatchToEngine(ticket model.Ticket, req openRequest, facts Facts, out *Out) State {
-	req = req.withUsableHandle(facts)
+func (s State) dispatchToEngine(ticket model.Ticket, req openRequest, view View, out *Out) State {
+	req = req.withUsableHandle(view)
 	if req.kvHandle != "" {
-		if u, found := pickDecoder(req, facts); found {
+		if u, found := pickDecoder(req, view); found {
 			req.placed = placement{added: req.received.PromptTokens}
-			return s.startAttempt(ticket, req, model.StepRun, u, model.UpstreamUse{Runs: 1}, req.deadline, facts, out)
+			return s.startAttempt(ticket, req, model.StepRun, u, model.UpstreamUse{Runs: 1}, req.deadline, view, out)
 		}
-		return s.failUnplaced(ticket, req, model.NoUpstream, facts, out)
+		return s.failUnplaced(ticket, req, model.NoUpstream, view, out)
 	}
-	choice, found := pickEngine(req, facts)
+	choice, found := pickEngine(req, view)
 	if !found && req.silence.retryTaken {
 		choice = engineChoice{
 			upstream: req.silence.next, tokens: promptWork(req.received.PromptTokens), added: req.received.PromptTokens,
@@ -71,29 +71,29 @@
 		found = true
 	}
 	if found && req.attempt == 0 {
-		if check, inTime := choice.waitCheck(req, facts); !inTime {
-			return s.refuseLate(ticket, req, check, facts, out)
+		if check, inTime := choice.waitCheck(req, view); !inTime {
+			return s.refuseLate(ticket, req, check, view, out)
 		}
 	}
 	req.placed = placement{added: choice.added, copyFrom: choice.copyFrom, wait: choice.wait}
 	switch {
 	case !found:
-		return s.failUnplaced(ticket, req, model.NoUpstream, facts, out)
+		return s.failUnplaced(ticket, req, model.NoUpstream, view, out)
 	case choice.prefillOnly:
-		deadline := facts.At.Add(prefillSlack + 2*choice.wait)
+		deadline := view.At.Add(prefillSlack + 2*choice.wait)
 		if req.deadline.Before(deadline) {
 			deadline = req.deadline
 		}
-		return s.startAttempt(ticket, req, model.StepPrompt, choice.upstream, model.UpstreamUse{Prompt: choice.tokens}, deadline, facts, out)
+		return s.startAttempt(ticket, req, model.StepPrompt, choice.upstream, model.UpstreamUse{Prompt: choice.tokens}, deadline, view, out)
 	default:
-		return s.startAttempt(ticket, req, model.StepRun, choice.upstream, model.UpstreamUse{Prompt: choice.tokens, Runs: 1}, req.deadline, facts, out)
+		return s.startAttempt(ticket, req, model.StepRun, choice.upstream, model.UpstreamUse{Prompt: choice.tokens, Runs: 1}, req.deadline, view, out)
 	}
 }
 
 // startAttempt starts the next attempt of a request.
 func (s State) startAttempt(
 	ticket model.Ticket, req openRequest, step model.Step, u model.Upstream, load model.UpstreamUse, deadline time.Time,
-	facts Facts, out *Out,
+	view View, out *Out,
 ) State {
 	req.attempt++
 	req.running, req.step, req.upstream, req.load = true, step, u, load
@@ -107,8 +107,8 @@
 			Service: req.service.Name, Prompt: load.Prompt, Output: float64(req.received.OutputTokens),
 		}})
 	}
-	req.sentAt, req.silence, req.settled = facts.At, silence{}, false
-	if upstream, found := facts.Fleet.Get(u.Name); found {
+	req.sentAt, req.silence, req.settled = view.At, silence{}, false
+	if upstream, found := view.Fleet.Get(u.Name); found {
 		req.placed.ahead = upstream.PromptBacklog()
 	}
 	s.open = s.open.Set(ticket, req)
@@ -126,12 +126,12 @@
 		CallerDeadline: req.deadline,
 		Retry:          step == model.StepRun && req.route.Repeat == model.RepeatFreely && req.attemptsLeft() > 1,
 	}
-	if upstream, found := facts.Fleet.Get(u.Name); found {
+	if upstream, found := view.Fleet.Get(u.Name); found {
 		forward.Backlog, forward.Runs = upstream.PromptBacklog(), upstream.RunningRequests()
 	}
 	if step == model.StepRun && forward.Runs <= u.Slots && req.canAbandonRun() {
 		stall := max(time.Duration(stallFactor*float64(req.route.Objective)), prefillSlack+2*req.placed.wait)
-		forward.StallDeadline = facts.At.Add(stall)
+		forward.StallDeadline = view.At.Add(stall)
 		forward.StallTimeout = max(minStallTimeout, gapStallFactor*req.route.MaxTokenGap, time.Duration(stallFactor*float64(req.route.Objective)))
 	}
 	if req.kvHandle == "" {
@@ -160,7 +160,7 @@
 
 // handleForwardBegan records that an upstream has begun to run a request. Its
 // prompt no longer counts as pending there.
-func (s State) handleForwardBegan(e event.ForwardBegan, facts Facts, out *Out) State {
+func (s State) handleForwardBegan(e event.ForwardBegan, view View, out *Out) State {
 	req, found := s.open.Get(e.Ticket)
 	if !found || !req.running || e.Attempt != req.attempt || req.step != model.StepRun {
 		return s
@@ -169,7 +169,7 @@
 		out.Raise(event.UseChanged{Upstream: req.upstream.Name, Prompt: -req.load.Prompt})
 		req.load.Prompt = 0
 	}
-	s, req = s.withStart(e.Ticket, req, facts.At)
+	s, req = s.withStart(e.Ticket, req, view.At)
 	if req.route.Stream && e.Status < http.StatusInternalServerError {
 		req = req.settle(true, out)
 	}
@@ -188,7 +188,7 @@
 
 // handleForwardEnded accounts for the end of an attempt and continues the
 // request.
-func (s State) handleForwardEnded(e event.ForwardEnded, facts Facts, out *Out) State {
+func (s State) handleForwardEnded(e event.ForwardEnded, view View, out *Out) State {
 	req, found := s.open.Get(e.Ticket)
 	if !found || !req.running || e.Attempt != req.attempt {
 		return s
@@ -197,15 +197,15 @@
 	out.Raise(event.UseChanged{Upstream: req.upstream.Name, Prompt: -req.load.Prompt, Runs: -req.load.Runs})
 	req = req.settle(e.Outcome == model.Completed && e.Status < http.StatusInternalServerError, out)
 	if e.Withheld && e.Outcome == model.NotSent {
-		return s.placeAgain(e.Ticket, req, facts, out)
+		return s.placeAgain(e.Ticket, req, view, out)
 	}
 	if e.Outcome != model.CallerLeft {
 		out.Raise(judge(req, e))
 	}
 	if e.Crashed {
-		s.crashes = s.crashes.WithCrash([]uint64{req.received.Fingerprint}, facts.At)
+		s.crashes = s.crashes.WithCrash([]uint64{req.received.Fingerprint}, view.At)
 	}
-	s, req = s.withRunEnd(req, e, facts.At)
+	s, req = s.withRunEnd(req, e, view.At)
 	req.responseStarted = req.responseStarted || e.Passed
 	if e.LastEvent != "" {
 		req.lastEvent = e.LastEvent
@@ -215,9 +215,9 @@
 		return s.abandon(e.Ticket, req, out)
 	}
 	if req.step == model.StepPrompt {
-		return s.afterPrefill(e, req, facts, out)
+		return s.afterPrefill(e, req, view, out)
 	}
-	return s.afterRun(e, req, facts, out)
+	return s.afterRun(e, req, view, out)
 }
 
 // judge returns what the end of an attempt says about the health of the
@@ -235,13 +235,13 @@
 
 // afterPrefill continues a request after its prefill step. If that step failed,
 // another engine repeats it, or the decoding engine computes the prompt itself.
-func (s State) afterPrefill(e event.ForwardEnded, req openRequest, facts Facts, out *Out) State {
+func (s State) afterPrefill(e event.ForwardEnded, req openRequest, view View, out *Out) State {
 	if e.Outcome == model.Completed && e.Handle != "" {
 		out.Raise(event.PromptMeasured{
-			Upstream: req.upstream.Name, Work: req.placed.ahead + req.load.Prompt, Took: facts.At.Sub(req.sentAt) - prefillOverhead,
+			Upstream: req.upstream.Name, Work: req.placed.ahead + req.load.Prompt, Took: view.At.Sub(req.sentAt) - prefillOverhead,
 		})
 		req.prefillEngine, req.kvHandle = req.upstream, e.Handle
-		return s.dispatch(e.Ticket, req, facts, out)
+		return s.dispatch(e.Ticket, req, view, out)
 	}
 	req.tried = append(req.tried[:len(req.tried):len(req.tried)], req.upstream.Name)
 	if e.Outcome != model.NotSent {
@@ -253,7 +253,7 @@
 	if req.skipPrefill && e.Outcome != model.NotSent {
 		req.repeatedPrefills--
 	}
-	return s.retryElsewhere(e, req, facts, out)
+	return s.retryElsewhere(e, req, view, out)
 }
 
 // attemptsLeft returns how many attempts the route still allows.
@@ -262,7 +262,7 @@
 }
 
 // afterRun completes, retries or fails a request after a run.
-func (s State) afterRun(e event.ForwardEnded, req openRequest, facts Facts, out *Out) State {
+func (s State) afterRun(e event.ForwardEnded, req openRequest, view View, out *Out) State {
 	notRun := e.Outcome == model.NotSent || e.Outcome == model.Rejected
 	if !notRun {
 		req.runs++
@@ -278,9 +278,9 @@
 	if notRun {
 		req.rejections++
 		if req.rejections > maxRejections {
-			return s.failUnplaced(e.Ticket, req, model.NoUpstream, facts, out)
+			return s.failUnplaced(e.Ticket, req, model.NoUpstream, view, out)
 		}
-		return s.retryElsewhere(e, req, facts, out)
+		return s.retryElsewhere(e, req, view, out)
 	}
 	// A stream that has begun is resumed only after a known event. Otherwise the caller
 	// would receive its begin once more.
@@ -289,27 +289,27 @@
 	if !mayRepeat || e.Expired || req.attemptsLeft() < 1 {
 		return s.failUnknown(e, req, out)
 	}
-	return s.retryElsewhere(e, req, facts, out)
+	return s.retryElsewhere(e, req, view, out)
 }
 
 // retryElsewhere sends a request to another upstream, within the retry budget
 // of its service. An attempt that did not reach its upstream does not consume
 // the budget, and for one that was given up it has been asked already.
-func (s State) retryElsewhere(e event.ForwardEnded, req openRequest, facts Facts, out *Out) State {
+func (s State) retryElsewhere(e event.ForwardEnded, req openRequest, view View, out *Out) State {
 	if e.Outcome != model.NotSent && !req.silence.retryTaken {
-		budget, ok := s.budget(req.service.Name, facts).WithRetry(facts.At)
+		budget, ok := s.budget(req.service.Name, view).WithRetry(view.At)
 		s.retries = s.retries.Set(req.service.Name, budget)
 		if !ok {
-			requests, retries, limit := budget.Usage(facts.At)
+			requests, retries, limit := budget.Usage(view.At)
 			req.retryCheck = model.RetryCheck{Service: req.service.Name, Requests: requests, Retries: retries, Limit: limit}
 			if req.runs > 0 {
 				return s.failUnknown(e, req, out)
 			}
-			return s.failUnplaced(e.Ticket, req, model.RetryBudgetSpent, facts, out)
+			return s.failUnplaced(e.Ticket, req, model.RetryBudgetSpent, view, out)
 		}
 	}
 	out.Emit(effect.CountRetry{Reason: retryReason(e, req)})
-	return s.dispatch(e.Ticket, req, facts, out)
+	return s.dispatch(e.Ticket, req, view, out)
 }
 
 // failUnknown ends a request whose outcome is unknown.
@@ -338,18 +338,18 @@
 }
 
 // fail ends a request that no upstream could take.
-func (s State) fail(ticket model.Ticket, req openRequest, reason model.Reason, facts Facts, out *Out) State {
-	return s.refuse(ticket, req, reason, facts.At.Add(refusedRetryDelay), out)
+func (s State) fail(ticket model.Ticket, req openRequest, reason model.Reason, view View, out *Out) State {
+	return s.refuse(ticket, req, reason, view.At.Add(refusedRetryDelay), out)
 }
 
 // refuseLate refuses a request that cannot be served in time. When the caller comes back,
 // half of its target latency should be left of what makes it wait now.
-func (s State) refuseLate(ticket model.Ticket, req openRequest, check model.WaitCheck, facts Facts, out *Out) State {
+func (s State) refuseLate(ticket model.Ticket, req openRequest, check model.WaitCheck, view View, out *Out) State {
 	out.Raise(event.QuotaReturned{Account: req.account.Name, Units: req.units})
 	out.Emit(
 		effect.Decline{
 			Ticket: ticket, Reason: model.Overloaded, Execution: model.NotRun, Wait: check,
-			RetryAt: facts.At.Add(max(refusedRetryDelay, check.Queued-req.route.Objective/2)),
+			RetryAt: view.At.Add(max(refusedRetryDelay, check.Queued-req.route.Objective/2)),
 		},
 		effect.CountRefusal{Reason: model.Overloaded},
 	)
--- a/core/serve/bench_test.go
+++ b/core/serve/bench_test.go
@@ -33,7 +33,7 @@
 			}
 			siteState, _ := site.New(bounds).Apply(h.in(event.SiteRead{SentAt: startTime, Revision: 3, Site: config}))
 			fleetState, _ := fleet.New().Apply(h.in(event.UpstreamsRead{Revision: 4, Upstreams: upstreams}))
-			facts := serve.Facts{
+			view := serve.View{
 				Site: siteState, Fleet: fleetState, Nodes: 9, CellNodes: 9, ZoneNodes: 3, Zone: "z", At: startTime, Initialized: true,
 			}
 			arrived := h.in(event.SiteArrived{Ticket: 1, Request: model.SiteRequest{
@@ -43,8 +43,8 @@
 			granted := h.in(event.QuotaGranted{Ticket: 1})
 			b.ReportAllocs()
 			for b.Loop() {
-				state, _ := serve.New(bounds).Apply(arrived, facts)
-				_, _ = state.Apply(granted, facts)
+				state, _ := serve.New(bounds).Apply(arrived, view)
+				_, _ = state.Apply(granted, view)
 			}
 		})
 	}
--- a/core/serve/cache.go
+++ b/core/serve/cache.go
@@ -18,11 +18,11 @@
 
 // newPromptCaches finds the engines that have a leading part of the prompt of a
 // request in their cache.
-func newPromptCaches(req openRequest, facts Facts) promptCaches {
+func newPromptCaches(req openRequest, view View) promptCaches {
 	return promptCaches{
-		holders:       facts.Fleet.CachedPrefixes(req.received.SharedParts(), req.service.KVCapacity),
+		holders:       view.Fleet.CachedPrefixes(req.received.SharedParts(), req.service.KVCapacity),
 		transferToken: transferTokenTime(req.service),
-		at:            facts.At,
+		at:            view.At,
 	}
 }
 
--- a/core/serve/load_test.go
+++ b/core/serve/load_test.go
@@ -168,7 +168,7 @@
 		sim.site, _ = sim.site.Apply(in)
 		sim.fleet, _ = sim.fleet.Apply(in)
 		var out serve.Out
-		sim.serve, out = sim.serve.Apply(in, serve.Facts{
+		sim.serve, out = sim.serve.Apply(in, serve.View{
 			Site: sim.site, Fleet: sim.fleet, Nodes: 1, CellNodes: 1, ZoneNodes: 1, Zone: "z", Random: in.Random, At: in.At, Initialized: true,
 		})
 		pending = append(pending, out.Raised...)
--- a/core/serve/notices_test.go
+++ b/core/serve/notices_test.go
@@ -98,7 +98,7 @@
 		}
 		n.fleet, _ = n.fleet.Apply(in)
 		var out serve.Out
-		n.serve, out = n.serve.Apply(in, serve.Facts{
+		n.serve, out = n.serve.Apply(in, serve.View{
 			Site: n.site, Fleet: n.fleet, Nodes: 2, Zone: "z", Random: in.Random, At: in.At, Initialized: true,
 		})
 		pending = append(pending, out.Raised...)
--- a/core/serve/place.go
+++ b/core/serve/place.go
@@ -114,9 +114,9 @@
 // busy with other prompts for longer than the target latency of the route, or if the
 // caller leaves before the first event: sending it anyway would only delay the next
 // ones. It is refused earlier if more urgent requests would be late behind it.
-func (c engineChoice) waitCheck(req openRequest, facts Facts) (check model.WaitCheck, inTime bool) {
+func (c engineChoice) waitCheck(req openRequest, view View) (check model.WaitCheck, inTime bool) {
 	limit := req.route.Objective
-	if urgent := urgentObjective(req, facts); urgent > 0 {
+	if urgent := urgentObjective(req, view); urgent > 0 {
 		limit = min(limit, time.Duration(urgentShare*float64(urgent)))
 	}
 	// Only short prompts find room at engines that generate tokens. Long ones may wait
@@ -132,10 +132,10 @@
 
 // urgentObjective returns the shortest target latency of the routes to the service of
 // a request that are more urgent, or zero if there are none.
-func urgentObjective(req openRequest, facts Facts) time.Duration {
+func urgentObjective(req openRequest, view View) time.Duration {
 	var shortest time.Duration
 	rank := req.priority()
-	for _, route := range facts.Site.Site().Routes {
+	for _, route := range view.Site.Site().Routes {
 		if route.Priority >= rank || route.Objective <= 0 || shortest > 0 && route.Objective >= shortest {
 			continue
 		}
@@ -220,23 +220,23 @@
 
 // listCandidates returns the upstreams of a request's service that pass a
 // filter. Those that were tried already are marked as unusable.
-func listCandidates(req openRequest, facts Facts, zone model.ZoneName, filter func(fleet.Upstream) bool) candidates {
-	names := facts.Fleet.ActiveUpstreams(req.service.Name)
+func listCandidates(req openRequest, view View, zone model.ZoneName, filter func(fleet.Upstream) bool) candidates {
+	names := view.Fleet.ActiveUpstreams(req.service.Name)
 	all := make(candidates, 0, len(names))
 	for _, name := range names {
-		u, found := facts.Fleet.Get(name)
+		u, found := view.Fleet.Get(name)
 		if found && filter(u) {
 			all = append(all, candidate{
-				Upstream: u, zone: zone, tried: req.tried, at: facts.At, tokenTime: facts.Fleet.TokenTime(u),
+				Upstream: u, zone: zone, tried: req.tried, at: view.At, tokenTime: view.Fleet.TokenTime(u),
 			})
 		}
 	}
 	return all
 }
 
-func pickService(req openRequest, facts Facts) (model.Upstream, bool) {
-	all := listCandidates(req, facts, facts.Zone, func(fleet.Upstream) bool { return true })
-	i, found := servicePolicy.Pick(all, 0, facts.Random)
+func pickService(req openRequest, view View) (model.Upstream, bool) {
+	all := listCandidates(req, view, view.Zone, func(fleet.Upstream) bool { return true })
+	i, found := servicePolicy.Pick(all, 0, view.Random)
 	if !found {
 		return model.Upstream{}, false
 	}
@@ -247,15 +247,15 @@
 // It differs between nodes, so that nodes that place requests at the same
 // moment, before they learn of each other's placements, choose different ones
 // among several idle upstreams.
-func scanStart(upstreams int, facts Facts) uint64 {
-	return uint64(upstreams * facts.Rank / max(1, facts.CellNodes))
+func scanStart(upstreams int, view View) uint64 {
+	return uint64(upstreams * view.Rank / max(1, view.CellNodes))
 }
 
 // pickDecoder selects the engine that generates tokens from the KV cache of a
 // prompt.
-func pickDecoder(req openRequest, facts Facts) (model.Upstream, bool) {
-	all := listCandidates(req, facts, req.prefillEngine.Zone, func(u fleet.Upstream) bool { return u.Role != model.RolePrefill })
-	i, found := decodePolicy.Pick(all, 0, scanStart(len(all), facts))
+func pickDecoder(req openRequest, view View) (model.Upstream, bool) {
+	all := listCandidates(req, view, req.prefillEngine.Zone, func(u fleet.Upstream) bool { return u.Role != model.RolePrefill })
+	i, found := decodePolicy.Pick(all, 0, scanStart(len(all), view))
 	if !found {
 		return model.Upstream{}, false
 	}
@@ -263,27 +263,27 @@
 }
 
 // pickEngine selects the engine that computes the prompt.
-func pickEngine(req openRequest, facts Facts) (engineChoice, bool) {
-	all := listCandidates(req, facts, facts.Zone, func(u fleet.Upstream) bool {
+func pickEngine(req openRequest, view View) (engineChoice, bool) {
+	all := listCandidates(req, view, view.Zone, func(u fleet.Upstream) bool {
 		return !req.skipPrefill || u.Role != model.RolePrefill
 	})
-	all.assignEngines(facts)
-	caches := newPromptCaches(req, facts)
+	all.assignEngines(view)
+	caches := newPromptCaches(req, view)
 	work := promptWork(req.received.PromptTokens)
 	pairs := place.Pairs[candidate]{
-		PromptToken:    facts.Fleet.ServiceTokenTime(req.service.Name),
+		PromptToken:    view.Fleet.ServiceTokenTime(req.service.Name),
 		EngineToken:    func(c candidate) time.Duration { return c.tokenTime },
 		MixedFactor:    mixedFactor,
 		Arrivals:       func(c candidate) float64 { return float64(c.RunningRequests()) / runTime.Seconds() },
 		MaxMixedLoad:   maxMixedLoad,
 		TransferBase:   transferOverhead,
 		TransferToken:  transferTokenTime(req.service),
-		MaxBacklog:     req.deadline.Sub(facts.At),
+		MaxBacklog:     req.deadline.Sub(view.At),
 		Prefix:         caches.prefix,
 		CacheHitWeight: cacheHitWeight,
 	}
 	job := place.Job{Prompt: int(work)}
-	start := scanStart(len(all), facts)
+	start := scanStart(len(all), view)
 	plan, found := pairs.Pick(all, job, start)
 	if !found {
 		job.Urgent = true
@@ -314,15 +314,15 @@
 
 // assignEngines divides the prefill engines of the node's availability zone
 // among the nodes of that zone, in order of the engines' names.
-func (l candidates) assignEngines(facts Facts) {
+func (l candidates) assignEngines(view View) {
 	var prefill []int
 	for i, c := range l {
-		if c.Upstream.Zone == facts.Zone && c.Upstream.Role == model.RolePrefill {
+		if c.Upstream.Zone == view.Zone && c.Upstream.Role == model.RolePrefill {
 			prefill = append(prefill, i)
 		}
 	}
 	for n, i := range prefill {
-		l[i].peerPreferred = n*facts.ZoneNodes/len(prefill) != facts.ZoneRank && facts.ZoneRank*len(prefill)/max(1, facts.ZoneNodes) != n
+		l[i].peerPreferred = n*view.ZoneNodes/len(prefill) != view.ZoneRank && view.ZoneRank*len(prefill)/max(1, view.ZoneNodes) != n
 	}
 }
 
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -35,9 +35,9 @@
 // Out holds the effects and events that one Apply call produces.
 type Out = step.Out[event.Event, effect.Effect]
 
-// Facts is the state of other components that Apply reads, with the time and the
+// View is the state of other components that Apply reads, with the time and the
 // random number of the event.
-type Facts struct {
+type View struct {
 	Site  site.State
 	Fleet fleet.State
 	// Nodes is the number of entry nodes, which share the retry budget. CellNodes is
@@ -166,32 +166,32 @@
 
 // Apply processes arriving requests, the decisions about their quota, the ends of
 // their attempts, and the crash counts and suspicions of peers.
-func (s State) Apply(in step.Input[event.Event], facts Facts) (State, Out) {
+func (s State) Apply(in step.Input[event.Event], view View) (State, Out) {
 	var out Out
 	s = s.withTime(in.At)
 	switch e := in.Event.(type) {
 	case event.SettingsChanged:
 		s.bounds = e.Bounds
 	case event.SiteArrived:
-		s = s.handleSiteArrived(e, facts, &out)
+		s = s.handleSiteArrived(e, view, &out)
 	case event.QuotaGranted:
-		s = s.handleQuotaGranted(e.Ticket, facts, &out)
+		s = s.handleQuotaGranted(e.Ticket, view, &out)
 	case event.QuotaRefused:
 		s = s.handleQuotaRefused(e, &out)
 	case event.ForwardBegan:
-		s = s.handleForwardBegan(e, facts, &out)
+		s = s.handleForwardBegan(e, view, &out)
 	case event.ForwardEnded:
-		s = s.handleForwardEnded(e, facts, &out)
+		s = s.handleForwardEnded(e, view, &out)
 	case event.ForwardSilent:
-		s = s.handleForwardSilent(e, facts, &out)
+		s = s.handleForwardSilent(e, view, &out)
 	case event.CallerGone:
 		s = s.handleCallerGone(e.Ticket, &out)
 	case event.SyncAnswered:
-		s = s.handleReport(e.Report, facts)
+		s = s.handleReport(e.Report, view)
 	case event.SyncArrived:
-		s = s.handleReport(e.Report, facts)
+		s = s.handleReport(e.Report, view)
 	case event.AnnounceArrived:
-		s = s.handleReport(e.Report, facts)
+		s = s.handleReport(e.Report, view)
 	case event.Tick:
 		s.poison = s.poison.WithTime(in.At)
 	}
@@ -199,12 +199,12 @@
 }
 
 // handleReport adds the crash counts and the suspicions of a peer or of another cell.
-func (s State) handleReport(r model.Report, facts Facts) State {
+func (s State) handleReport(r model.Report, view View) State {
 	if len(r.Crashes) > 0 {
-		s.crashes = s.crashes.WithPeer(r.Source(), r.Crashes, facts.At)
+		s.crashes = s.crashes.WithPeer(r.Source(), r.Crashes, view.At)
 	}
 	if len(r.Suspicions) > 0 {
-		s.poison = s.poison.WithReport(r.Suspicions, facts.At, facts.PassesNews)
+		s.poison = s.poison.WithReport(r.Suspicions, view.At, view.PassesNews)
 	}
 	return s
 }
@@ -230,7 +230,7 @@
 
 // budget returns the retry budget of a service, limited to this node's part of
 // the budget of all nodes.
-func (s State) budget(service model.ServiceName, facts Facts) retry.Budget {
+func (s State) budget(service model.ServiceName, view View) retry.Budget {
 	b, found := s.retries.Get(service)
 	if !found {
 		b = retry.New(retry.Limits{})
@@ -240,7 +240,7 @@
 	slack := s.bounds.RetrySlack * min(1, retry.Window.Seconds()/s.bounds.RetryWindow.Seconds())
 	return b.WithLimits(retry.Limits{
 		PerRequest: s.bounds.RetryRatio * budgetMargin,
-		Fixed:      slack * budgetMargin / float64(max(1, facts.Nodes)),
+		Fixed:      slack * budgetMargin / float64(max(1, view.Nodes)),
 	})
 }
 
--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -89,7 +89,7 @@
 		}
 		h.fleet, _ = h.fleet.Apply(in)
 		var out serve.Out
-		h.serve, out = h.serve.Apply(in, serve.Facts{
+		h.serve, out = h.serve.Apply(in, serve.View{
 			Site: h.site, Fleet: h.fleet, Nodes: 2, Zone: "z", Random: in.Random, At: in.At, Initialized: h.site.HasConfig(),
 		})
 		pending = append(pending, out.Raised...)
@@ -338,12 +338,12 @@
 	prompts := map[model.UpstreamName]int{}
 	for rank := range nodes {
 		state := serve.New(bounds)
-		facts := serve.Facts{Site: siteState, Fleet: fleetState, Nodes: nodes, CellNodes: nodes, Rank: rank, ZoneNodes: nodes, ZoneRank: rank, Zone: "z", Random: 7, At: startTime, Initialized: true}
+		view := serve.View{Site: siteState, Fleet: fleetState, Nodes: nodes, CellNodes: nodes, Rank: rank, ZoneNodes: nodes, ZoneRank: rank, Zone: "z", Random: 7, At: startTime, Initialized: true}
 		state, _ = state.Apply(h.in(event.SiteArrived{Ticket: 1, Request: model.SiteRequest{
 			Host: "h", Path: "/stream/1", HasKey: true, KeyHash: key, PromptTokens: 9000, ArrivedAt: startTime,
 			CallerDeadline: startTime.Add(time.Second),
-		}}), facts)
-		_, out := state.Apply(h.in(event.QuotaGranted{Ticket: 1}), facts)
+		}}), view)
+		_, out := state.Apply(h.in(event.QuotaGranted{Ticket: 1}), view)
 		for _, f := range out.Effects {
 			if forward, ok := f.(effect.Forward); ok {
 				prompts[forward.Upstream.Name]++
--- a/core/serve/silence.go
+++ b/core/serve/silence.go
@@ -24,21 +24,21 @@
 // for another run. It goes on unless that run can start at once. Otherwise a retry
 // budget that is spent, or the lack of another upstream, would end the requests of all
 // upstreams that are silent for a moment.
-func (s State) handleForwardSilent(e event.ForwardSilent, facts Facts, out *Out) State {
+func (s State) handleForwardSilent(e event.ForwardSilent, view View, out *Out) State {
 	req, found := s.open.Get(e.Ticket)
 	if !found || !req.running || e.Attempt != req.attempt || e.Report <= req.silence.reports {
 		return s
 	}
 	req.silence.reports = e.Report
 	s.open = s.open.Set(e.Ticket, req)
-	if e.Ignored < req.silence.abandons || !s.mayAbandon(req, e, facts) {
+	if e.Ignored < req.silence.abandons || !s.mayAbandon(req, e, view) {
 		return s
 	}
-	budget, allowed := s.takeRetry(req, facts)
+	budget, allowed := s.takeRetry(req, view)
 	if !allowed {
 		return s
 	}
-	next, found := pickIdle(req, facts)
+	next, found := pickIdle(req, view)
 	if !found {
 		return s
 	}
@@ -53,8 +53,8 @@
 // mayAbandon reports whether the rules allow giving up a silent attempt: its route
 // allows another run, and if the response has begun, the upstream is unreachable and
 // the response can be resumed.
-func (s State) mayAbandon(req openRequest, e event.ForwardSilent, facts Facts) bool {
-	if req.step != model.StepRun || !req.canAbandonRun() || !facts.At.Before(req.deadline) {
+func (s State) mayAbandon(req openRequest, e event.ForwardSilent, view View) bool {
+	if req.step != model.StepRun || !req.canAbandonRun() || !view.At.Before(req.deadline) {
 		return false
 	}
 	if e.Begun || req.responseStarted {
@@ -63,37 +63,37 @@
 			return false
 		}
 	}
-	return s.crashes.Verdict(req.received.Fingerprint, facts.At) == crash.Normal
+	return s.crashes.Verdict(req.received.Fingerprint, view.At) == crash.Normal
 }
 
 // takeRetry returns the retry budget after the run that follows the running attempt,
 // and whether the budget allows that run.
-func (s State) takeRetry(req openRequest, facts Facts) (retry.Budget, bool) {
-	budget := s.budget(req.service.Name, facts)
+func (s State) takeRetry(req openRequest, view View) (retry.Budget, bool) {
+	budget := s.budget(req.service.Name, view)
 	if req.silence.retryTaken {
 		return budget, true
 	}
-	return budget.WithRetry(facts.At)
+	return budget.WithRetry(view.At)
 }
 
 // pickIdle selects another upstream that can start a run of the request at once: one that
 // is not avoided and has a free slot.
-func pickIdle(req openRequest, facts Facts) (model.Upstream, bool) {
+func pickIdle(req openRequest, view View) (model.Upstream, bool) {
 	req = req.withoutUpstream()
 	var picked model.Upstream
 	var found bool
 	if req.service.Engine {
 		var choice engineChoice
-		choice, found = pickEngine(req, facts)
+		choice, found = pickEngine(req, view)
 		picked = choice.upstream
 	} else {
-		picked, found = pickService(req, facts)
+		picked, found = pickService(req, view)
 	}
 	if !found {
 		return model.Upstream{}, false
 	}
-	u, found := facts.Fleet.Get(picked.Name)
-	return picked, found && !u.Avoided(facts.At) && u.RunningRequests() < max(1, u.Slots)
+	u, found := view.Fleet.Get(picked.Name)
+	return picked, found && !u.Avoided(view.At) && u.RunningRequests() < max(1, u.Slots)
 }
 
 // withoutUpstream returns the request after a run at its upstream, which gets no other
--- a/core/serve/suspect.go
+++ b/core/serve/suspect.go
@@ -44,20 +44,20 @@
 func (s State) Suspicions(at time.Time) []model.PartSuspicion { return s.poison.Report(at) }
 
 // verdict returns whether the parts of a request are held.
-func (s State) verdict(request *model.SiteRequest, facts Facts) poison.Verdict {
-	return s.poison.Verdict(request.SharedParts(), facts.Node, facts.At)
+func (s State) verdict(request *model.SiteRequest, view View) poison.Verdict {
+	return s.poison.Verdict(request.SharedParts(), view.Node, view.At)
 }
 
 // dispatchHeld sends a request with a held part to an upstream if a trial is due, and
 // refuses it otherwise.
-func (s State) dispatchHeld(ticket model.Ticket, req openRequest, verdict poison.Verdict, facts Facts, out *Out) State {
+func (s State) dispatchHeld(ticket model.Ticket, req openRequest, verdict poison.Verdict, view View, out *Out) State {
 	if !verdict.TrialDue || req.runs > 0 {
 		return s.refuseHeld(ticket, req, verdict, out)
 	}
 	req.trial = true
-	s = s.dispatch(ticket, req, facts, out)
+	s = s.dispatch(ticket, req, view, out)
 	if started, found := s.open.Get(ticket); found && started.running {
-		s.poison = s.poison.WithTrial(req.received.SharedParts(), facts.At)
+		s.poison = s.poison.WithTrial(req.received.SharedParts(), view.At)
 	}
 	return s
 }
--- a/core/serve/withheld.go
+++ b/core/serve/withheld.go
@@ -21,43 +21,43 @@
 // placeAgain places a request again whose attempt was not sent because the upstream
 // wants no more requests. It uses up neither an attempt nor the retry budget, and a KV
 // cache that was to be transferred can still be used.
-func (s State) placeAgain(ticket model.Ticket, req openRequest, facts Facts, out *Out) State {
+func (s State) placeAgain(ticket model.Ticket, req openRequest, view View, out *Out) State {
 	req.withheld++
 	s.open = s.open.Set(ticket, req)
 	if req.withheld > maxWithheld {
-		return s.failUnplaced(ticket, req, model.NoUpstream, facts, out)
+		return s.failUnplaced(ticket, req, model.NoUpstream, view, out)
 	}
-	return s.dispatch(ticket, req, facts, out)
+	return s.dispatch(ticket, req, view, out)
 }
 
 // failUnplaced ends a request that is sent to no further upstream for a reason. If all
 // of them asked for a pause, this is the reason, and the caller is told to come back
 // after the first one.
-func (s State) failUnplaced(ticket model.Ticket, req openRequest, reason model.Reason, facts Facts, out *Out) State {
-	end, all := facts.Fleet.PauseEnd(req.service.Name, facts.At, func(u fleet.Upstream) bool {
+func (s State) failUnplaced(ticket model.Ticket, req openRequest, reason model.Reason, view View, out *Out) State {
+	end, all := view.Fleet.PauseEnd(req.service.Name, view.At, func(u fleet.Upstream) bool {
 		// An engine that only computes prompts cannot take a request without another one.
 		return !req.service.Engine || u.Role != model.RolePrefill
 	})
 	if !all {
-		return s.fail(ticket, req, reason, facts, out)
+		return s.fail(ticket, req, reason, view, out)
 	}
-	if earliest := facts.At.Add(refusedRetryDelay); end.Before(earliest) {
+	if earliest := view.At.Add(refusedRetryDelay); end.Before(earliest) {
 		end = earliest
 	}
-	spread := time.Duration(float64(facts.Random>>11) / (1 << 53) * float64(pauseRetrySpread))
+	spread := time.Duration(float64(view.Random>>11) / (1 << 53) * float64(pauseRetrySpread))
 	return s.refuse(ticket, req, model.UpstreamsPaused, end.Add(spread), out)
 }
 
 // withUsableHandle returns the request without the KV cache of its prompt if no engine
 // may copy it: the engine that holds it asked for a pause, or has been replaced. The
 // engine that generates the tokens then computes the prompt.
-func (req openRequest) withUsableHandle(facts Facts) openRequest {
+func (req openRequest) withUsableHandle(view View) openRequest {
 	if req.kvHandle == "" {
 		return req
 	}
-	holder, found := facts.Fleet.Get(req.prefillEngine.Name)
+	holder, found := view.Fleet.Get(req.prefillEngine.Name)
 	replaced := found && holder.Incarnation != req.prefillEngine.Incarnation
-	if replaced || facts.Fleet.Pausing(req.prefillEngine, facts.At) {
+	if replaced || view.Fleet.Pausing(req.prefillEngine, view.At) {
 		req.kvHandle, req.skipPrefill = "", true
 	}
 	return req
--- a/core/usage/cell.go
+++ b/core/usage/cell.go
@@ -73,14 +73,14 @@
 }
 
 // windowSums returns the numbers of requests of all nodes in a window.
-func (s State) windowSums(window model.Window, facts Facts) map[model.AccountName]int {
-	if facts.Flat {
+func (s State) windowSums(window model.Window, view View) map[model.AccountName]int {
+	if view.Flat {
 		return s.processSums(window)
 	}
-	sums := s.cellSums(window, facts.Cell)
+	sums := s.cellSums(window, view.Cell)
 	for itr := s.cells.Iterator(); !itr.Done(); {
 		cell, _, _ := itr.Next()
-		if cell == facts.Cell {
+		if cell == view.Cell {
 			continue
 		}
 		for account, count := range s.knownSums(cell, window) {
--- a/core/usage/snapshot.go
+++ b/core/usage/snapshot.go
@@ -28,7 +28,7 @@
 }
 
 // handleSnapshotResponse applies the response to a call for the snapshot.
-func (s State) handleSnapshotResponse(in step.Input[event.Event], facts Facts) State {
+func (s State) handleSnapshotResponse(in step.Input[event.Event], view View) State {
 	var result record.Result
 	s.snapshot, result = s.snapshot.ApplyResponse(in.Event)
 	switch result {
@@ -37,7 +37,7 @@
 		s.saveAt = in.At.Add(saveInterval)
 		if !s.loaded {
 			s.loaded = true
-			s = s.withStoredCounts(facts)
+			s = s.withStoredCounts(view)
 		}
 	case record.Written:
 		s.saveAt = in.At.Add(saveInterval)
@@ -55,7 +55,7 @@
 // withStoredCounts adds the stored counts of processes that this one has not
 // heard from, or the stored sums of cells, and moves back to the earliest stored
 // window.
-func (s State) withStoredCounts(facts Facts) State {
+func (s State) withStoredCounts(view View) State {
 	stored, _ := s.snapshot.Value()
 	learned := map[model.Incarnation][]model.UsageCount{}
 	firstWindow := s.window
@@ -64,7 +64,7 @@
 			continue
 		}
 		if part.Cell {
-			if !facts.Flat {
+			if !view.Flat {
 				s = s.withCellCounts(part.Incarnation, usageCounts(part))
 			}
 			firstWindow = min(firstWindow, part.Window)
@@ -95,7 +95,7 @@
 }
 
 // advanceSnapshot reads the snapshot, or writes it when that is due.
-func (s State) advanceSnapshot(at time.Time, facts Facts, out *Out) State {
+func (s State) advanceSnapshot(at time.Time, view View, out *Out) State {
 	if !s.holdsLease || !at.Before(s.leaseUntil) || s.snapshot.InFlight() || at.Before(s.saveAt) {
 		return s
 	}
@@ -106,7 +106,7 @@
 		out.Emit(call)
 		return s
 	}
-	next := s.snapshotSince(s.oldestReportable(facts.WallTime), facts)
+	next := s.snapshotSince(s.oldestReportable(view.WallTime), view)
 	if len(next.Parts) == 0 {
 		s.saveAt = at.Add(saveInterval)
 		return s
@@ -118,21 +118,21 @@
 
 // snapshotSince returns the counts of all known processes, or the sums of all cells,
 // from a window on.
-func (s State) snapshotSince(since model.Window, facts Facts) model.UsageSnapshot {
+func (s State) snapshotSince(since model.Window, view View) model.UsageSnapshot {
 	all := s.peers.Set(s.self.Incarnation, s.Counts())
-	if !facts.Flat {
+	if !view.Flat {
 		all = immutable.NewSortedMap[model.Incarnation, []model.UsageCount](nil)
 		for itr := s.cells.Iterator(); !itr.Done(); {
 			cell, _, _ := itr.Next()
 			all = all.Set(cell, s.cellCountsSince(cell, since))
 		}
-		all = all.Set(facts.Cell, s.CellCounts(facts.Cell))
+		all = all.Set(view.Cell, s.CellCounts(view.Cell))
 	}
 	var snapshot model.UsageSnapshot
 	for itr := all.Iterator(); !itr.Done(); {
 		incarnation, counts, _ := itr.Next()
 		for _, part := range usageParts(counts, since) {
-			part.Incarnation, part.Cell = incarnation, !facts.Flat
+			part.Incarnation, part.Cell = incarnation, !view.Flat
 			snapshot.Parts = append(snapshot.Parts, part)
 		}
 	}
--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -34,8 +34,8 @@
 // Out holds the effects and events that one Apply call produces.
 type Out = step.Out[event.Event, effect.Effect]
 
-// Facts is the state of other components that Apply reads.
-type Facts struct {
+// View is the state of other components that Apply reads.
+type View struct {
 	// WallTime is the wall-clock time of the event, as well as it is known.
 	WallTime time.Time
 	// OldestHeardAt is when the member that has been silent for longest was last
@@ -98,31 +98,31 @@
 
 // Apply counts requests, and processes the counts of peers, changes of the lease
 // and the responses of the store and the platform.
-func (s State) Apply(in step.Input[event.Event], facts Facts) (State, Out) {
+func (s State) Apply(in step.Input[event.Event], view View) (State, Out) {
 	var out Out
 	if !s.started {
-		s.firstWindow, s.started = s.windowOf(facts.WallTime), true
+		s.firstWindow, s.started = s.windowOf(view.WallTime), true
 	}
 	switch e := in.Event.(type) {
 	case event.SettingsChanged:
 		s.bounds = e.Bounds
 	case event.RunBegan:
-		s = s.withRequest(e.Account, facts.WallTime)
+		s = s.withRequest(e.Account, view.WallTime)
 	case event.SyncAnswered:
 		s = s.handleReport(e.Report)
 	case event.SyncArrived:
 		s = s.handleReport(e.Report)
 	case event.AuthorityChanged:
-		s = s.handleAuthorityChanged(e, facts.WallTime)
+		s = s.handleAuthorityChanged(e, view.WallTime)
 	case event.SendAnswered:
 		s = s.handleReportResponse(e.Op, in.At, e.Result != model.SendAccepted)
 	case event.SendFailed:
 		s = s.handleReportResponse(e.Op, in.At, true)
 	default:
-		s = s.handleStoreResponse(in, facts)
+		s = s.handleStoreResponse(in, view)
 	}
-	s = s.advanceSnapshot(in.At, facts, &out)
-	return s.advance(in.At, facts, &out), out
+	s = s.advanceSnapshot(in.At, view, &out)
+	return s.advance(in.At, view, &out), out
 }
 
 // Counts returns the recent counts of this node, which are sent to its peers.
@@ -217,23 +217,23 @@
 	return s.withWindow(s.window + 1)
 }
 
-func (s State) handleStoreResponse(in step.Input[event.Event], facts Facts) State {
+func (s State) handleStoreResponse(in step.Input[event.Event], view View) State {
 	var result record.Result
 	s.stored, result = s.stored.ApplyResponse(in.Event)
 	if result == record.Failed || result == record.Ambiguous {
 		s.nextCallAt = in.At.Add(retryDelay)
 	}
 	s.obsolete, _ = s.obsolete.ApplyResponse(in.Event)
-	return s.handleSnapshotResponse(in, facts)
+	return s.handleSnapshotResponse(in, view)
 }
 
 // advance starts the call that is due. A window is always reported as it was
 // recorded, so that a later holder reports the same counts.
-func (s State) advance(at time.Time, facts Facts, out *Out) State {
+func (s State) advance(at time.Time, view View, out *Out) State {
 	if !s.holdsLease || !s.loaded || !at.Before(s.leaseUntil) || s.reportPending || s.stored.InFlight() || at.Before(s.nextCallAt) {
 		return s
 	}
-	if delay := s.delay(facts); delay > 0 {
+	if delay := s.delay(view); delay > 0 {
 		s.nextCallAt = at.Add(delay)
 		return s
 	}
@@ -254,7 +254,7 @@
 	default:
 		var write effect.Effect
 		s, op := s.nextOp()
-		s.stored, write = s.stored.Write(op, s.windowRecord(facts), "")
+		s.stored, write = s.stored.Write(op, s.windowRecord(view), "")
 		out.Emit(write)
 		return s
 	}
@@ -263,14 +263,14 @@
 // delay returns how long to wait before the next window is processed: until
 // the counts of all nodes should have arrived, and longer while a node is
 // silent.
-func (s State) delay(facts Facts) time.Duration {
+func (s State) delay(view View) time.Duration {
 	end := s.endOf(s.window)
-	since := facts.WallTime.Sub(end)
+	since := view.WallTime.Sub(end)
 	settle := time.Duration(settleShare * float64(s.bounds.UsageReportDelay))
 	if since < settle {
 		return settle - since
 	}
-	if facts.OldestHeardAt.Before(end) && since < time.Duration(silentPeerShare*float64(s.bounds.UsageReportDelay)) {
+	if view.OldestHeardAt.Before(end) && since < time.Duration(silentPeerShare*float64(s.bounds.UsageReportDelay)) {
 		return retryDelay
 	}
 	return 0
@@ -295,8 +295,8 @@
 }
 
 // windowRecord returns the record of the window, with the sums over all nodes.
-func (s State) windowRecord(facts Facts) model.Usage {
-	sums := s.windowSums(s.window, facts)
+func (s State) windowRecord(view View) model.Usage {
+	sums := s.windowSums(s.window, view)
 	usage := model.Usage{Window: s.window, Epoch: s.epoch}
 	for account, count := range sums {
 		usage.Lines = append(usage.Lines, model.UsageLine{Account: account, Requests: int64(count)})
--- a/core/usage/usage_test.go
+++ b/core/usage/usage_test.go
@@ -46,7 +46,7 @@
 	pending := []event.Event{e}
 	for len(pending) > 0 {
 		var out usage.Out
-		n.state, out = n.state.Apply(step.Input[event.Event]{At: now, Event: pending[0]}, usage.Facts{WallTime: now, OldestHeardAt: now, Flat: n.cell == 0, Cell: n.cell})
+		n.state, out = n.state.Apply(step.Input[event.Event]{At: now, Event: pending[0]}, usage.View{WallTime: now, OldestHeardAt: now, Flat: n.cell == 0, Cell: n.cell})
 		pending = pending[1:]
 		for _, f := range out.Effects {
 			pending = append(pending, n.platform.execute(now, f)...)
