Call parts of prompts that crash engines by the same word everywhere

Tests and pages used two words for them.

Measured: a rename; the tests of core/poison and the cases of core/edge TestContainedPart with a share of 0.05 pass.

--- a/core/edge/network_test.go
+++ b/core/edge/network_test.go
@@ -99,14 +99,14 @@
 	declined *effect.Decline
 }
 
-// reach is the arrival of a request with a deadly part at an engine.
+// reach is the arrival of a request with a crashing part at an engine.
 type reach struct {
 	at   time.Duration
 	node *simNode
 }
 
 // network simulates nodes, the messages between them, and engines that crash when they
-// begin to write an answer to a deadly part.
+// begin to write an answer to a crashing part.
 type network struct {
 	now    time.Duration
 	agenda agenda
@@ -120,17 +120,17 @@
 	tickets  model.Ticket
 	open     map[model.Ticket]*simRequest
 	requests []*simRequest
-	// deadly has the deadly parts, reached the requests with each that reached an
+	// crashing has the crashing parts, reached the requests with each that reached an
 	// engine, and crashes the times of the crashes by each.
-	deadly  map[uint64]bool
-	reached map[uint64][]reach
-	crashes map[uint64][]time.Duration
+	crashing map[uint64]bool
+	reached  map[uint64][]reach
+	crashes  map[uint64][]time.Duration
 }
 
 // newNetwork starts nodes in zones.
 func newNetwork(seed uint64, zones, nodes, engines int) *network {
 	n := &network{
-		random: rand.New(rand.NewPCG(seed, 1)), open: map[model.Ticket]*simRequest{}, deadly: map[uint64]bool{},
+		random: rand.New(rand.NewPCG(seed, 1)), open: map[model.Ticket]*simRequest{}, crashing: map[uint64]bool{},
 		reached: map[uint64][]reach{}, crashes: map[uint64][]time.Duration{}, revision: 10,
 	}
 	for i := range engines {
@@ -339,7 +339,7 @@
 	}
 	request.reached = true
 	for _, part := range request.parts {
-		if n.deadly[part] {
+		if n.crashing[part] {
 			n.reached[part] = append(n.reached[part], reach{n.now, node})
 		}
 	}
@@ -350,7 +350,7 @@
 			return
 		}
 		for _, part := range request.parts {
-			if n.deadly[part] {
+			if n.crashing[part] {
 				n.crashes[part] = append(n.crashes[part], n.now)
 				n.crash(engine)
 				return
--- a/core/edge/suspect_test.go
+++ b/core/edge/suspect_test.go
@@ -11,28 +11,28 @@
 // The parts of the prompts of the simulated requests. Most have commonPart, some of
 // them also one of documentParts parts of their account.
 const (
-	commonPart    = 1
-	documentPart  = 1000
-	documentParts = 60
-	deadlyPart    = 7
-	secondDeadly  = 8
+	commonPart     = 1
+	documentPart   = 1000
+	documentParts  = 60
+	crashingPart   = 7
+	secondCrashing = 8
 )
 
 // simSeed is the seed of the simulated arrivals and delays.
 var simSeed = flag.Uint64("edge.seed", 1, "seed of the simulations")
 
-// arrivals sends requests until a time, of which a share has a deadly part.
+// arrivals sends requests until a time, of which a share has a crashing part.
 type arrivals struct {
 	until    time.Duration
 	interval time.Duration
-	// deadlyAfter is when requests with the deadly parts begin. The part was sound
-	// before if soundBefore is set, and deadly otherwise.
-	deadlyAfter time.Duration
-	soundBefore bool
-	share       float64
-	// place is where a deadly part stands: 0 first, 1 in the middle, 2 next to last.
-	place  int
-	deadly []uint64
+	// crashesAfter is when requests with the crashing parts begin. The part was sound
+	// before if soundBefore is set, and crashing otherwise.
+	crashesAfter time.Duration
+	soundBefore  bool
+	share        float64
+	// place is where a crashing part stands: 0 first, 1 in the middle, 2 next to last.
+	place    int
+	crashing []uint64
 }
 
 func (c arrivals) next(n *network) {
@@ -44,15 +44,15 @@
 		if n.random.IntN(2) == 0 {
 			parts = append(parts, documentPart+uint64(n.random.IntN(documentParts)))
 		}
-		if len(c.deadly) > 0 && n.now >= c.deadlyAfter {
-			for _, part := range c.deadly {
-				n.deadly[part] = true
+		if len(c.crashing) > 0 && n.now >= c.crashesAfter {
+			for _, part := range c.crashing {
+				n.crashing[part] = true
 			}
 		}
-		if len(c.deadly) > 0 && (c.soundBefore || n.now >= c.deadlyAfter) && n.random.Float64() < c.share {
-			deadly := c.deadly[n.random.IntN(len(c.deadly))]
+		if len(c.crashing) > 0 && (c.soundBefore || n.now >= c.crashesAfter) && n.random.Float64() < c.share {
+			crashing := c.crashing[n.random.IntN(len(c.crashing))]
 			at := min(len(parts), c.place)
-			parts = append(parts[:at:at], append([]uint64{deadly}, parts[at:]...)...)
+			parts = append(parts[:at:at], append([]uint64{crashing}, parts[at:]...)...)
 		}
 		n.arrive(parts...)
 		c.next(n)
@@ -66,7 +66,7 @@
 	for _, r := range n.requests {
 		sound := true
 		for _, part := range r.parts {
-			sound = sound && !n.deadly[part]
+			sound = sound && !n.crashing[part]
 		}
 		if sound && r.arrivedAt >= from && r.arrivedAt < to {
 			all++
@@ -78,7 +78,7 @@
 	return float64(begun) / float64(max(1, all))
 }
 
-// requireContained checks that at most three requests with a deadly part reach an
+// requireContained checks that at most three requests with a crashing part reach an
 // engine later than 3 s after the fifth crash by it. At a node that is cut off from the
 // others, the time counts from when they can tell it.
 func (n *network) requireContained(t *testing.T, part uint64) {
@@ -121,14 +121,14 @@
 	t.Logf("%d of %d requests refused for a part", held, len(n.requests))
 }
 
-// TestDeadlyPart guards against a part of prompts that crashes engines for as long as
+// TestContainedPart guards against a part of prompts that crashes engines for as long as
 // requests with it come, and against refusing sound requests that share other parts
 // with them.
-func TestDeadlyPart(t *testing.T) {
+func TestContainedPart(t *testing.T) {
 	const warmUp, length = 5 * time.Second, 20 * time.Second
 	type site struct{ zones, nodes, engines int }
 	flat, cells := site{3, 9, 24}, site{6, 74, 40}
-	one, two := []uint64{deadlyPart}, []uint64{deadlyPart, secondDeadly}
+	one, two := []uint64{crashingPart}, []uint64{crashingPart, secondCrashing}
 	for name, c := range map[string]struct {
 		site
 		arrivals
@@ -136,20 +136,20 @@
 		// shortly before the end.
 		cut bool
 	}{
-		"share of 0.01":               {site: flat, arrivals: arrivals{share: 0.01, place: 1, deadly: one}},
-		"share of 0.05, first":        {site: flat, arrivals: arrivals{share: 0.05, place: 0, deadly: one}},
-		"share of 0.15, next to last": {site: flat, arrivals: arrivals{share: 0.15, place: 2, deadly: one}},
-		"sound before":                {site: flat, arrivals: arrivals{share: 0.05, place: 1, soundBefore: true, deadly: one}},
-		"sound before, share of 0.15": {site: flat, arrivals: arrivals{share: 0.15, place: 0, soundBefore: true, deadly: one}},
-		"two parts at once":           {site: flat, arrivals: arrivals{share: 0.1, place: 1, deadly: two}},
-		"two parts that were sound":   {site: flat, arrivals: arrivals{share: 0.1, place: 1, soundBefore: true, deadly: two}},
-		"node cut off":                {site: flat, arrivals: arrivals{share: 0.1, place: 1, deadly: one}, cut: true},
-		"cells":                       {site: cells, arrivals: arrivals{share: 0.05, place: 1, deadly: one}},
-		"cells, sound before":         {site: cells, arrivals: arrivals{share: 0.15, place: 2, soundBefore: true, deadly: one}},
+		"share of 0.01":               {site: flat, arrivals: arrivals{share: 0.01, place: 1, crashing: one}},
+		"share of 0.05, first":        {site: flat, arrivals: arrivals{share: 0.05, place: 0, crashing: one}},
+		"share of 0.15, next to last": {site: flat, arrivals: arrivals{share: 0.15, place: 2, crashing: one}},
+		"sound before":                {site: flat, arrivals: arrivals{share: 0.05, place: 1, soundBefore: true, crashing: one}},
+		"sound before, share of 0.15": {site: flat, arrivals: arrivals{share: 0.15, place: 0, soundBefore: true, crashing: one}},
+		"two parts at once":           {site: flat, arrivals: arrivals{share: 0.1, place: 1, crashing: two}},
+		"two parts that were sound":   {site: flat, arrivals: arrivals{share: 0.1, place: 1, soundBefore: true, crashing: two}},
+		"node cut off":                {site: flat, arrivals: arrivals{share: 0.1, place: 1, crashing: one}, cut: true},
+		"cells":                       {site: cells, arrivals: arrivals{share: 0.05, place: 1, crashing: one}},
+		"cells, sound before":         {site: cells, arrivals: arrivals{share: 0.15, place: 2, soundBefore: true, crashing: one}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			n := newNetwork(*simSeed, c.zones, c.nodes, c.engines)
-			c.until, c.interval, c.deadlyAfter = warmUp+length, 25*time.Millisecond, warmUp
+			c.until, c.interval, c.crashesAfter = warmUp+length, 25*time.Millisecond, warmUp
 			c.next(n)
 			n.run(warmUp)
 			if c.cut {
@@ -159,11 +159,11 @@
 			}
 			n.run(warmUp + length - n.now)
 			usual, got := n.begunShare(2*time.Second, warmUp), n.begunShare(warmUp, warmUp+length)
-			t.Logf("share of answers that begin at the first attempt: usual %.2f, with the deadly part %.2f", usual, got)
+			t.Logf("share of answers that begin at the first attempt: usual %.2f, with the crashing part %.2f", usual, got)
 			if got < usual/2 {
 				t.Errorf("%.2f of the sound requests begin at their first attempt, want half of %.2f", got, usual)
 			}
-			for _, part := range c.deadly {
+			for _, part := range c.crashing {
 				n.requireContained(t, part)
 			}
 			n.requireTrue(t)
@@ -244,14 +244,14 @@
 			for _, i := range c.cut {
 				n.nodes[i].cut = true
 			}
-			n.deadly[deadlyPart] = true
+			n.crashing[crashingPart] = true
 			// The relay of the zone of the origin is the node 5 where there are cells.
 			origin := n.nodes[min(len(n.nodes)-4, 5+c.zones)]
 			for range 2 {
-				n.arriveAt(origin, commonPart, deadlyPart)
+				n.arriveAt(origin, commonPart, crashingPart)
 				n.run(500 * time.Millisecond)
 			}
-			if !n.knows(origin, deadlyPart) {
+			if !n.knows(origin, crashingPart) {
 				t.Fatal("the node that saw the crashes does not know of them")
 			}
 			if len(c.cut) > 0 {
@@ -270,7 +270,7 @@
 			n.run(within)
 			unaware := 0
 			for _, node := range n.nodes {
-				if !n.knows(node, deadlyPart) {
+				if !n.knows(node, crashingPart) {
 					unaware++
 				}
 			}
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -103,7 +103,7 @@
 			h.sound(1)
 			h.wait(settleTime)
 		}, ""},
-		"turns deadly beside a part that stays sound": {func(h *history) {
+		"turns crashing beside a part that stays sound": {func(h *history) {
 			h.sound(1, 2)
 			h.crash(1, 1, 2)
 			h.crash(2, 1, 2)
