Try a part that was sound before it was held within 0.5 s

Callers saw: sound requests refused as CrashingPart for up to 2 s, because a part that they share ran beside a crashing one when two engines crashed.

Both parts had been sound, so both settled for 0.8 s, in which three of four engines were away and nothing sound could run. Then both were held, and the first trial was due 1 to 1.5 s later, for any part.

Ruled out: the crash marks themselves (two distinct crashes, both true), other reasons of refusal (all findings have the reason CrashingPart in the node's log), news between nodes (all held it within 10 ms).

Change: a node that knew the part as sound when it was held starts the first trial after its own delay of 0 to 0.5 s, without the wait of 1 s. Later trials, and those of parts never seen sound, stay.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -224,6 +224,7 @@
 	}
 	e = e.evaluated(at)
 	if e.held && !old.held {
+		e.soundBefore = s.sound.has(e.part, at)
 		// Another sound answer is needed before the part is trusted again.
 		s.sound = s.sound.without(e.part)
 	}
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -247,6 +247,36 @@
 	}
 }
 
+// TestTrialOfSoundPart guards against refusing requests for seconds because of a part
+// that was sound until upstreams crashed beside it, and against an early trial of one
+// that was not.
+func TestTrialOfSoundPart(t *testing.T) {
+	h := newHistory()
+	h.sound(1)
+	h.crash(1, 1)
+	h.crash(2, 1)
+	h.wait(settleTime)
+	if v := h.Verdict(parts(1), "n", h.at()); v.Part != 1 {
+		t.Fatalf("verdict %+v, want part 1 held", v)
+	}
+	h.wait(soundTrialDelay)
+	if !h.Verdict(parts(1), "n", h.at()).TrialDue {
+		t.Errorf("no trial of a sound part %v after it was held", soundTrialDelay)
+	}
+	h.trial(1)
+	h.crash(3, 1)
+	h.wait(trialWaits[0])
+	if h.Verdict(parts(1), "n", h.at()).TrialDue {
+		t.Error("a second trial of a sound part follows at once")
+	}
+	h.crash(4, 2)
+	h.crash(5, 2)
+	h.wait(trialWaits[0] - time.Millisecond)
+	if h.Verdict(parts(2), "n", h.at()).TrialDue {
+		t.Errorf("a trial of a part that was never sound within %v", trialWaits[0])
+	}
+}
+
 // TestTrialOfAnotherNode guards against a trial by each of the nodes.
 func TestTrialOfAnotherNode(t *testing.T) {
 	h, other := newHistory(), newHistory()
--- a/core/poison/suspect.go
+++ b/core/poison/suspect.go
@@ -19,9 +19,15 @@
 // because each failed trial costs an engine.
 var trialWaits = [...]time.Duration{time.Second, 10 * time.Second, 5 * time.Minute, 10 * time.Minute}
 
-// maxTrialDelay is the largest part of a wait by which it is extended, so that several
-// nodes do not start a trial at the same time.
-const maxTrialDelay = 0.5
+const (
+	// maxTrialDelay is the largest part of a wait by which it is extended, so that several
+	// nodes do not start a trial at the same time.
+	maxTrialDelay = 0.5
+	// soundTrialDelay limits the delay of the first trial of a part that was answered
+	// soundly before it was held. Such a part may have run beside the cause of the
+	// crashes, and many requests may share it.
+	soundTrialDelay = 500 * time.Millisecond
+)
 
 // mark is a crash during a request with a part.
 type mark struct {
@@ -40,6 +46,8 @@
 	open   int
 	held   bool
 	heldAt time.Time
+	// soundBefore is set if the part was answered soundly shortly before it was held.
+	soundBefore bool
 	// trials is the number of trials that any node made, and trialsBefore how many of
 	// them were made before the part was last cleared.
 	trials, trialsBefore int
@@ -101,8 +109,13 @@
 
 // trialAt returns when a node may start the next trial.
 func (e suspect) trialAt(node model.NodeName) time.Time {
-	wait := trialWaits[max(0, min(e.trials-e.trialsBefore, len(trialWaits)-1))]
-	return e.waitsFrom.Add(wait + time.Duration(float64(wait)*maxTrialDelay*spread(node, e.part)))
+	trials := max(0, min(e.trials-e.trialsBefore, len(trialWaits)-1))
+	wait := trialWaits[trials]
+	delay := time.Duration(float64(wait) * maxTrialDelay)
+	if trials == 0 && e.soundBefore {
+		wait, delay = 0, soundTrialDelay
+	}
+	return e.waitsFrom.Add(wait + time.Duration(float64(delay)*spread(node, e.part)))
 }
 
 // spread returns a fraction that differs between nodes and parts. The lowest fractions
