--- a/core/model/enums.go
+++ b/core/model/enums.go
@@ -82,6 +82,7 @@
 // The values of Reason.
 const (
 	BodyTooLarge Reason = iota
+	BodyTimeout
 	ClaimTableFull
 	ClaimUnavailable
 	CrashSuspect
--- a/core/model/enums_string.go
+++ b/core/model/enums_string.go
@@ -103,37 +103,38 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[BodyTooLarge-0]
-	_ = x[ClaimTableFull-1]
-	_ = x[ClaimUnavailable-2]
-	_ = x[CrashSuspect-3]
-	_ = x[CrashingPart-4]
-	_ = x[DeadlineExceeded-5]
-	_ = x[Draining-6]
-	_ = x[EarlierOutcomeUnknown-7]
-	_ = x[IdempotencyMismatch-8]
-	_ = x[Internal-9]
-	_ = x[KeyUnknown-10]
-	_ = x[KeyWasWithdrawn-11]
-	_ = x[MalformedRequest-12]
-	_ = x[MissingIdempotencyKey-13]
-	_ = x[MissingKey-14]
-	_ = x[ModelNotAllowed-15]
-	_ = x[NoUpstream-16]
-	_ = x[NotFresh-17]
-	_ = x[Overloaded-18]
-	_ = x[RateLimited-19]
-	_ = x[RetryBudgetSpent-20]
-	_ = x[StreamTruncated-21]
-	_ = x[UnknownModel-22]
-	_ = x[UnknownRoute-23]
-	_ = x[UpstreamFailed-24]
-	_ = x[UpstreamLost-25]
-	_ = x[UpstreamsPaused-26]
-}
-
-const _Reason_name = "BodyTooLargeClaimTableFullClaimUnavailableCrashSuspectCrashingPartDeadlineExceededDrainingEarlierOutcomeUnknownIdempotencyMismatchInternalKeyUnknownKeyWasWithdrawnMalformedRequestMissingIdempotencyKeyMissingKeyModelNotAllowedNoUpstreamNotFreshOverloadedRateLimitedRetryBudgetSpentStreamTruncatedUnknownModelUnknownRouteUpstreamFailedUpstreamLostUpstreamsPaused"
-
-var _Reason_index = [...]uint16{0, 12, 26, 42, 54, 66, 82, 90, 111, 130, 138, 148, 163, 179, 200, 210, 225, 235, 243, 253, 264, 280, 295, 307, 319, 333, 345, 360}
+	_ = x[BodyTimeout-1]
+	_ = x[ClaimTableFull-2]
+	_ = x[ClaimUnavailable-3]
+	_ = x[CrashSuspect-4]
+	_ = x[CrashingPart-5]
+	_ = x[DeadlineExceeded-6]
+	_ = x[Draining-7]
+	_ = x[EarlierOutcomeUnknown-8]
+	_ = x[IdempotencyMismatch-9]
+	_ = x[Internal-10]
+	_ = x[KeyUnknown-11]
+	_ = x[KeyWasWithdrawn-12]
+	_ = x[MalformedRequest-13]
+	_ = x[MissingIdempotencyKey-14]
+	_ = x[MissingKey-15]
+	_ = x[ModelNotAllowed-16]
+	_ = x[NoUpstream-17]
+	_ = x[NotFresh-18]
+	_ = x[Overloaded-19]
+	_ = x[RateLimited-20]
+	_ = x[RetryBudgetSpent-21]
+	_ = x[StreamTruncated-22]
+	_ = x[UnknownModel-23]
+	_ = x[UnknownRoute-24]
+	_ = x[UpstreamFailed-25]
+	_ = x[UpstreamLost-26]
+	_ = x[UpstreamsPaused-27]
+}
+
+const _Reason_name = "BodyTooLargeBodyTimeoutClaimTableFullClaimUnavailableCrashSuspectCrashingPartDeadlineExceededDrainingEarlierOutcomeUnknownIdempotencyMismatchInternalKeyUnknownKeyWasWithdrawnMalformedRequestMissingIdempotencyKeyMissingKeyModelNotAllowedNoUpstreamNotFreshOverloadedRateLimitedRetryBudgetSpentStreamTruncatedUnknownModelUnknownRouteUpstreamFailedUpstreamLostUpstreamsPaused"
+
+var _Reason_index = [...]uint16{0, 12, 23, 37, 53, 65, 77, 93, 101, 122, 141, 149, 159, 174, 190, 211, 221, 236, 246, 254, 264, 275, 291, 306, 318, 330, 344, 356, 371}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
