Decide on a turned away request before the body of the refusal ends

If an upstream turned a request away (408, 421, 429, 503) with a body that did not end, the caller waited until its deadline and got 504 DeadlineExceeded, although the upstream had said in the head that it does not run the request and another one was free.

Cause: a rejection was read to its end before it counted, and a refusal that is passed on was read to its end before it was passed on or repeated elsewhere, both without a limit but the deadline of the attempt.

The connection of such a response is not used again.

--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -64,6 +64,9 @@
 	// Broken means that the response is missing or incomplete. The upstream may
 	// have executed the request.
 	Broken = Errors.NewType("broken").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+	// Unfinished means that the body of a response has not ended by the time that was
+	// set for it. What was received of the response is in order.
+	Unfinished = Errors.NewType("unfinished").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
 )
 
 // Options configures a Pool.
--- a/io/pool/response.go
+++ b/io/pool/response.go
@@ -5,9 +5,11 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"regexp"
 	"slices"
 	"strings"
+	"time"
 )
 
 // protocolPrefix begins every response, and statusLine matches how each begins.
@@ -98,16 +100,26 @@
 	closed       bool
 }
 
+// EndBy limits the time until the body has ended. Reading it then fails with an error of
+// type Unfinished. The connection is not used again.
+func (r *Response) EndBy(deadline time.Time) {
+	r.body.conn.spent = true
+	// An error means that the connection is closed, which the next read reports.
+	_ = r.body.conn.SetReadDeadline(deadline)
+}
+
 // Finish reads the rest of the response and closes the connection. An error of type
 // Broken means that the response cannot be relied on to answer the request: it is
 // incomplete or has a body above the limit, or there was another response on the
-// connection.
+// connection. If the time set by EndBy has passed, the error is of type Unfinished.
 func (r *Response) Finish(limit int64) error {
 	defer func() { _ = r.Body.Close() }()
 	c := r.body.conn
 	c.spent = true
 	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, limit+1))
 	switch {
+	case err != nil && c.unexpected:
+		return Broken.Wrap(err, "another response from %s before", r.body.request.Address)
 	case err != nil:
 		return err
 	case n > limit:
@@ -120,13 +132,15 @@
 }
 
 // Read implements io.Reader. It returns an error of type Broken if the body is
-// truncated.
+// truncated, and of type Unfinished if it has not ended in time.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.response.Body.Read(p)
 	switch {
 	case errors.Is(err, io.EOF):
 		b.complete = true
 		return n, io.EOF
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return n, Unfinished.Wrap(err, "response from %s has not ended", b.request.Address)
 	case err != nil:
 		return n, Broken.Wrap(err, "read response from %s", b.request.Address)
 	}
--- a/io/pool/stale_test.go
+++ b/io/pool/stale_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -118,6 +119,45 @@
 	}
 }
 
+// TestRefusalWithoutEnd guards against a refusal whose body does not end and that is waited
+// for without end, or that is told neither from a whole nor from a broken one, and against
+// the use of its connection for another request.
+func TestRefusalWithoutEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		response string
+		want     *errorx.Type
+	}{
+		"length":                 {refusal("3", "bu"), pool.Unfinished},
+		"chunks":                 {"HTTP/1.1 503 Service Unavailable\r\nId: 3\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbu", pool.Unfinished},
+		"connection":             {"HTTP/1.1 503 Service Unavailable\r\nId: 3\r\n\r\nbusy", pool.Unfinished},
+		"after another response": {refusal("0", "busy") + refusal("3", "bu"), pool.Broken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := serve(t, script{{c.response, ok("2", "same")}, {ok("2", "new")}})
+			p := newPool(t)
+			response, err := send(t, p, address, "3")
+			if err != nil {
+				t.Fatal(err)
+			}
+			response.EndBy(time.Now().Add(50 * time.Millisecond))
+			ended := make(chan error, 1)
+			go func() { ended <- response.Finish(1000) }()
+			select {
+			case err := <-ended:
+				if !errorx.IsOfType(err, c.want) {
+					t.Errorf("Finish returned %v, want an error of type %v", err, c.want)
+				}
+			case <-time.After(10 * time.Second):
+				_ = response.Body.Close()
+				t.Fatal("Finish still waits after 10 s")
+			}
+			if got, err := get(t.Context(), p, address, "2"); err != nil || got != "new" {
+				t.Errorf("next request: body %q, error %v; want another connection", got, err)
+			}
+		})
+	}
+}
+
 // TestBytesOnIdleConnection guards against a connection on which bytes arrived while no
 // request was open.
 func TestBytesOnIdleConnection(t *testing.T) {
