Measure by route what requests wait for

On a platform, operators saw the time to the first token over all routes, but not whether it went into the quota and the queue, into the prompt or into the transfer of a KV cache.

The reducer of requests has the times of all steps. It emits one effect MeasureWaits when a response begins, and the meter exposes it as caroblane_wait_seconds{route,reason}. Queue, prompt and transfer add up to the first token; attempts that failed count as queue. Gaps between tokens are measured by the relay, which knows the route from the effect Forward. The first 32 routes of a process have a label of their own, all others share one. One effect for each reason was not chosen, because each effect is an allocation.

The interface responseMetrics has TokenGap with the route in place of BetweenTokens; the two test doubles follow. TestMetrics of platform also sends a stream and expects its waits; nothing was removed from it.

Measured: TestWaits of core/serve and io/meter, TestRouteLabels and TestMetrics pass.

--- a/core/effect/site.go
+++ b/core/effect/site.go
@@ -57,6 +57,7 @@
 	Attempt  int
 	Upstream model.Upstream
 	Step     model.Step
+	Route    model.RouteName
 	// Stream is set if the response is a stream of events.
 	Stream  bool
 	Account model.AccountName
--- a/core/effect/traffic.go
+++ b/core/effect/traffic.go
@@ -40,6 +40,12 @@
 // Finish notifies the goroutine serving a request that the request has ended.
 type Finish struct{ Ticket model.Ticket }
 
+// MeasureWaits records how long a request waited until its response began.
+type MeasureWaits struct {
+	Route model.RouteName
+	Waits model.Waits
+}
+
 // Refuse ends a request that has no complete response.
 type Refuse struct {
 	Ticket  model.Ticket
@@ -67,5 +73,6 @@
 func (Cut) isEffect()          {}
 func (Dispatch) isEffect()     {}
 func (Finish) isEffect()       {}
+func (MeasureWaits) isEffect() {}
 func (Refuse) isEffect()       {}
 func (Replay) isEffect()       {}
--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -117,6 +117,7 @@
 		Attempt:        req.attempt,
 		Upstream:       u,
 		Step:           step,
+		Route:          req.route.Name,
 		Stream:         req.route.Stream,
 		Account:        req.account.Name,
 		Units:          req.units,
@@ -170,6 +171,9 @@
 		req.load.Prompt = 0
 	}
 	s, req = s.withStart(e.Ticket, req, view.At)
+	if e.Status < http.StatusInternalServerError {
+		req = req.measure(view.At, out)
+	}
 	if req.route.Stream && e.Status < http.StatusInternalServerError {
 		req = req.settle(true, out)
 	}
@@ -240,7 +244,7 @@
 		out.Raise(event.PromptMeasured{
 			Upstream: req.upstream.Name, Work: req.placed.ahead + req.load.Prompt, Took: view.At.Sub(req.sentAt) - prefillOverhead,
 		})
-		req.prefillEngine, req.kvHandle = req.upstream, e.Handle
+		req.prefillEngine, req.kvHandle, req.prefillTime = req.upstream, e.Handle, view.At.Sub(req.sentAt)
 		return s.dispatch(e.Ticket, req, view, out)
 	}
 	req.tried = append(req.tried[:len(req.tried):len(req.tried)], req.upstream.Name)
--- a/core/serve/bench_test.go
+++ b/core/serve/bench_test.go
@@ -49,3 +49,27 @@
 		})
 	}
 }
+
+// BenchmarkRequest measures a stream of a plain service from its arrival to its end.
+func BenchmarkRequest(b *testing.B) {
+	h := newHarness()
+	view := serve.View{Site: h.site, Fleet: h.fleet, Nodes: 9, CellNodes: 9, ZoneNodes: 3, Zone: "z", At: startTime, Initialized: true}
+	events := []event.Event{
+		event.SiteArrived{Ticket: 1, Request: model.SiteRequest{
+			Host: "h", Path: "/stream/1", HasKey: true, KeyHash: key, ArrivedAt: startTime, CallerDeadline: startTime.Add(time.Second),
+		}},
+		event.QuotaGranted{Ticket: 1},
+		event.ForwardBegan{Ticket: 1, Attempt: 1, Status: 200},
+		event.ForwardEnded{Ticket: 1, Attempt: 1, Outcome: model.Completed, Status: 200, Passed: true},
+	}
+	state := serve.New(bounds)
+	b.ReportAllocs()
+	for b.Loop() {
+		for _, e := range events {
+			state, _ = state.Apply(h.in(e), view)
+		}
+	}
+	if state.Open() != 0 {
+		b.Fatalf("%d requests are open", state.Open())
+	}
+}
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -97,6 +97,8 @@
 	// prefillEngine holds the KV cache of the prompt under kvHandle.
 	prefillEngine model.Upstream
 	kvHandle      string
+	// prefillTime is how long the prefill step took that made the KV cache.
+	prefillTime time.Duration
 	// sentAt is when the last attempt was sent, and placed how it was placed. settled is
 	// set once it is known whether its upstream serves it.
 	sentAt  time.Time
@@ -126,6 +128,8 @@
 	// and lastEvent is the ID of the last stream event in it.
 	responseStarted bool
 	lastEvent       string
+	// measured is set once the waits of the request have been recorded.
+	measured bool
 	// retryCheck is set if the retry budget did not allow another attempt.
 	retryCheck model.RetryCheck
 	silence    silence
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -4,7 +4,7 @@
 // No metric has a label for the client account: with 11,000 accounts, 24 refusal
 // reasons and 330 nodes there would be tens of millions of time series. The only
 // labels are reasons, event types and effect types, whose sets are fixed in the
-// code.
+// code, and a limited number of routes.
 package meter
 
 import (
@@ -55,6 +55,7 @@
 	aborts         map[model.AbortReason]prometheus.Counter
 	firstTokenTime prometheus.Histogram
 	tokenInterval  prometheus.Histogram
+	waits          *waitHistograms
 	ignoredObjects prometheus.Counter
 	events         typeCounter
 	effects        typeCounter
@@ -82,7 +83,8 @@
 		0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.45, 0.5, 0.75, 1, 2, 5, 10, 30)
 	m.tokenInterval = m.newHistogram("caroblane_between_tokens_seconds", "Time between two tokens of a stream.",
 		0.001, 0.0025, 0.005, 0.01, 0.02, 0.03, 0.04, 0.051, 0.06, 0.08, 0.1, 0.25, 1, 5)
-	m.registry.MustRegister(gaugeCollector{read})
+	m.waits = newWaitHistograms()
+	m.registry.MustRegister(m.waits.vector, gaugeCollector{read})
 	return m
 }
 
@@ -105,7 +107,7 @@
 // CountEvent counts an event by its type.
 func (m *Metrics) CountEvent(e event.Event) { m.events.count(e) }
 
-// Execute executes CountRefusal and CountRetry and ignores other effects.
+// Execute executes CountRefusal, CountRetry and MeasureWaits and ignores other effects.
 func (m *Metrics) Execute(_ context.Context, e effect.Effect) {
 	switch e := e.(type) {
 	case effect.CountRefusal:
@@ -116,12 +118,20 @@
 		if counter, ok := m.retries[e.Reason]; ok {
 			counter.Inc()
 		}
+	case effect.MeasureWaits:
+		m.waits.observeAll(e.Route, e.Waits)
 	}
 }
 
 // FirstToken records the time from a request's arrival to its first token.
 func (m *Metrics) FirstToken(latency time.Duration) { m.firstTokenTime.Observe(latency.Seconds()) }
 
+// TokenGap records the time between two tokens of a stream of a route.
+func (m *Metrics) TokenGap(route model.RouteName, gap time.Duration) {
+	m.BetweenTokens(gap)
+	m.waits.observe(route, model.WaitBetweenTokens, gap)
+}
+
 // Handler serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
