Don't count a trial without a result

Callers saw CrashingPart for 10 to 15 s for a part whose first trial reached no upstream, was turned away by all, or whose caller left. A sound part that is tried while engines are still away meets this case; the early first trial makes it likelier.

Cause: a trial counted from its dispatch on, so the second wait followed whatever came of it.

Change: a request that ends while it still is a trial takes the trial back: the same wait follows from the start of the trial, at least the first one of 1 s. At most three are taken back until the part is cleared, because an upstream that crashed after its caller had left may leave no trace. Peers wait longer, as they heard of a trial.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -33,6 +33,9 @@
 	// reportTime is how long reports repeat what was learned of a part that is not held.
 	// By then, all nodes in contact have it.
 	reportTime = 5 * time.Second
+	// maxVoidTrials limits the trials without a result that do not count. The upstream
+	// of one whose caller left may have crashed without a trace.
+	maxVoidTrials = 3
 	// minRetryDelay is the least time after which the caller of a refused request may
 	// come again.
 	minRetryDelay = time.Second
@@ -125,6 +128,23 @@
 	return s
 }
 
+// WithVoidTrial returns the state after a request that was let through ended without a
+// result: it reached no upstream, or its caller left. The same wait follows from the
+// start of the trial, and the first wait even if the part was sound before.
+func (s State) WithVoidTrial(parts []model.PromptPart) State {
+	for _, part := range parts {
+		e, found := s.suspects.Get(part.ID)
+		if !found || !e.held || e.trials <= e.trialsBefore || e.voidTrials >= maxVoidTrials {
+			continue
+		}
+		e.trialsBefore++
+		e.voidTrials++
+		e.soundBefore = false
+		s.suspects = s.suspects.Set(part.ID, e)
+	}
+	return s
+}
+
 // WithCrash returns the state after a crash of an upstream that had not got past the
 // start of the answer to a request with the given shared parts. Held parts of the
 // request explain the crash. Otherwise it counts against the parts that have not been
--- a/core/poison/suspect.go
+++ b/core/poison/suspect.go
@@ -51,6 +51,8 @@
 	// trials is the number of trials that any node made, and trialsBefore how many of
 	// them were made before the part was last cleared.
 	trials, trialsBefore int
+	// voidTrials is the number of trials without a result since the part was last cleared.
+	voidTrials int
 	// waitsFrom is when the wait for the next trial began.
 	waitsFrom time.Time
 	// settlesAt is when the next mark begins to count, or zero.
@@ -80,7 +82,7 @@
 		e.heldAt, e.waitsFrom = at, at
 	}
 	if e.open == 0 {
-		e.trialsBefore = e.trials
+		e.trialsBefore, e.voidTrials = e.trials, 0
 	}
 	e.held = held
 	return e
--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -386,8 +386,12 @@
 	return s.remove(ticket, req, out)
 }
 
-// remove deletes a request and frees a KV cache that is no longer needed.
+// remove deletes a request, notes that it was a trial without a result, and frees a KV
+// cache that is no longer needed.
 func (s State) remove(ticket model.Ticket, req openRequest, out *Out) State {
+	if req.trial {
+		s.poison = s.poison.WithVoidTrial(req.received.SharedParts())
+	}
 	if req.kvHandle != "" {
 		out.Emit(effect.FreeHandle{Upstream: req.prefillEngine, Handle: req.kvHandle})
 	}
--- a/core/serve/suspect.go
+++ b/core/serve/suspect.go
@@ -122,7 +122,10 @@
 	case e.Crashed:
 		s.poison = s.poison.WithCrash(crashID(req.upstream), parts, at)
 	}
-	if e.Outcome != model.NotSent && e.Outcome != model.Rejected {
+	switch e.Outcome {
+	case model.NotSent, model.Rejected, model.CallerLeft:
+		// The run says nothing about the parts.
+	default:
 		req.trial = false
 	}
 	req.begunAt, req.pastStart = time.Time{}, false
