Count a crash once for equal requests at one upstream

Callers saw CrashSuspect for 10 minutes for a prompt of which two equal requests ran at an upstream that crashed once, for any reason.

Cause: core/serve counts the end of each attempt, while core/crash meant crashes (core/flow passes all requests of a crash at once).

Change: core/crash takes the ID of the crash, which core/serve has from the name and the incarnation of the upstream, and counts it once for a fingerprint. Two nodes whose equal requests one crash ended still count two: their counts carry no ID.

Measured: core/serve TestEqualRequestsAtOneCrash fails before ("refused with CrashSuspect 3s after one crash beside which two equal requests ran") and passes.

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -44,7 +44,9 @@
 
 // entry holds the counts of one fingerprint.
 type entry struct {
-	own       int
+	own int
+	// latest is the ID of the latest crash in own, or zero if it is not known.
+	latest    uint64
 	peers     []peerCount
 	expiresAt time.Time
 }
@@ -188,6 +190,20 @@
 	return s
 }
 
+// WithCrashOf returns the state after a crash with an ID, which is not zero, of an upstream
+// that was running a request with the given fingerprint. One crash counts once, however
+// many equal requests report it.
+func (s State) WithCrashOf(crash, fingerprint uint64, at time.Time) State {
+	if e, _ := s.counts.Get(fingerprint); fingerprint == 0 || e.latest == crash && at.Before(e.expiresAt) {
+		return s
+	}
+	s = s.WithCrash([]uint64{fingerprint}, at)
+	e, _ := s.counts.Get(fingerprint)
+	e.latest = crash
+	s.counts = s.counts.Set(fingerprint, e)
+	return s
+}
+
 // WithPeer returns the state with the counts that a peer has made itself. A
 // count that has not increased since the previous message does not extend its
 // retention.
