Tell peers at once that a held part is being tried

Operators saw: a held part that goes on crashing engines was tried by up to all nodes of a small site at about the same time, each of which cost an engine.

Cause: WithTrial counted the trial but did not mark the part as changed, so peers learned of it only with the crash that it caused (50 to 400 ms later) or by a full report. docs/guarantees.md states the delay of a datagram.

Ruled out: the spread of the delays of the nodes, which stays as it is and suffices once the trial is announced.

Change: WithTrial notes the part as changed and sets changedAt, as its comment says.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -121,8 +121,8 @@
 	for _, part := range parts {
 		if e, found := s.suspects.Get(part.ID); found && e.held {
 			e.trials++
-			e.waitsFrom = at
-			s = s.withSuspect(e, at)
+			e.waitsFrom, e.changedAt = at, at
+			s = s.withSuspect(e, at).withChanged(part.ID)
 		}
 	}
 	return s
