End the processes of the tests with the test program

Cause: the harness ends its processes in a cleanup of the test. A test program that is ended by a signal or by the timeout of go test runs no cleanup. A process that runs then ends by the SIGTERM to the process group, but one that SIGSTOP has stopped keeps that signal pending until SIGCONT, which nobody sends any more. Ruled out: a path of startProcess between the start and the cleanup that ends the test, and a failed kill, which uses SIGKILL.

Processes are started by package child on a thread that lives as long as the program, with SIGKILL as the signal at the parent's end. It also ends stopped processes.

--- a/cmd/caroblaned/exec_test.go
+++ b/cmd/caroblaned/exec_test.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"caroblane/fake/child"
 )
 
 // process is a program that was started by a test.
@@ -40,9 +42,9 @@
 	return b.text.String()
 }
 
-// startProcess starts a program and stops it at the end of the test. For a fake
-// server it waits for the address and writes it to the log, so that the log starts
-// with it.
+// startProcess starts a program and stops it at the end of the test, also if the test
+// program is killed before. For a fake server it waits for the address and writes it to
+// the log, so that the log starts with it.
 func startProcess(t testing.TB, name string, args ...string) *process {
 	t.Helper()
 	dir, err := buildPrograms()
@@ -55,7 +57,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := p.command.Start(); err != nil {
+	if err := child.Start(p.command); err != nil {
 		t.Fatal(err)
 	}
 	first := make(chan string, 1)
