--- a/cmd/caroblane-fake/soak.go
+++ b/cmd/caroblane-fake/soak.go
@@ -16,6 +16,10 @@
 	"caroblane/platform/soak"
 )
 
+// maxSoakNodes keeps the connections of a run below the usual limit of open files: there
+// is a link between each two nodes.
+const maxSoakNodes = 32
+
 func soakCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "soak",
@@ -85,8 +89,8 @@
 		}
 		return nil
 	}
-	if cmd.Int("nodes") < 1 || cmd.Int("nodes") > 16 || cmd.Int("seconds") < 4 || cmd.Int("parallel") < 1 {
-		return errors.New("--nodes must be 1 to 16, --seconds at least 4, --parallel at least 1")
+	if cmd.Int("nodes") < 1 || cmd.Int("nodes") > maxSoakNodes || cmd.Int("seconds") < 4 || cmd.Int("parallel") < 1 {
+		return fmt.Errorf("--nodes must be 1 to %d, --seconds at least 4, --parallel at least 1", maxSoakNodes)
 	}
 	keep := cmd.String("keep")
 	if keep == "" {
@@ -125,12 +129,16 @@
 
 // soakLine returns the result of a run as one line.
 func soakLine(r soak.Report, err error) string {
+	stalled := ""
+	if r.Stalled > 0 {
+		stalled = fmt.Sprintf(" (the machine stalled for %s)", r.Stalled.Round(time.Millisecond))
+	}
 	switch {
 	case err != nil:
 		return fmt.Sprintf("seed %d not run: %v", r.Seed, err)
 	case len(r.Findings) > 0:
-		return fmt.Sprintf("seed %d failed: %d findings, first: %s; %s", r.Seed, len(r.Findings), r.Findings[0], r.Dir)
+		return fmt.Sprintf("seed %d failed%s: %d findings, first: %s; %s", r.Seed, stalled, len(r.Findings), r.Findings[0], r.Dir)
 	default:
-		return fmt.Sprintf("seed %d passed: %d requests %v, p50 %s, p99 %s", r.Seed, r.Requests, r.Statuses, r.P50, r.P99)
+		return fmt.Sprintf("seed %d passed%s: %d requests %v, p50 %s, p99 %s", r.Seed, stalled, r.Requests, r.Statuses, r.P50, r.P99)
 	}
 }
