Reset the connection of a stream without chunks that is cut

A caller of HTTP/1.0 took a stream that was cut after its begin for a whole one: its answer has neither a length nor chunks, and its connection ended in good order.

Cause: net/http ends the connection of an aborted handler, and those that are open when the server is closed, with a regular close.

Now a connection is marked while such a response is sent, and a marked one is reset when it is closed. The mark is removed once the stream is whole. That covers each way in which a stream can end early, the end of the node included. Responses with a length or chunks show by themselves that their end is missing, and keep the regular close, after which the kernel still sends what was written.

Ruled out: a reset only where a handler aborts (a node that is closed with an open stream would still end it regularly), and a reset for all cut responses (what the caller has not acknowledged yet is lost by a reset).

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -97,6 +97,26 @@
 	}
 }
 
+// ConnContext is the hook by which an http.Server makes a connection known to the handlers
+// of its requests.
+func (l *Listener) ConnContext(ctx context.Context, netConn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, netConn)
+}
+
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+// ResetOnClose sets whether the connection of a request is reset when it is closed. A
+// response whose end is marked by the end of its connection only would otherwise look
+// complete whenever it is cut.
+func ResetOnClose(r *http.Request, reset bool) {
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.resetOnClose = reset
+	}
+}
+
 // Drain closes the listener and the connections on which no request is received or
 // processed, and waits until the other ones are closed as well. The context limits the
 // wait.
@@ -176,6 +196,9 @@
 	since time.Time
 	// lastRead is set once the connection waits for its last read.
 	lastRead bool
+	// resetOnClose is set while a response is sent whose end is marked by the end of the
+	// connection only.
+	resetOnClose bool
 }
 
 // Read implements net.Conn.
@@ -211,6 +234,12 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.listener.remove(c)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.resetOnClose {
+		// An error means that the connection is closed already.
+		_ = tcp.SetLinger(0)
+	}
 	return c.Conn.Close()
 }
 
--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -331,3 +332,51 @@
 		}
 	})
 }
+
+// TestResetOnClose guards against a response that ends with its connection and looks
+// complete after the server cut it, and against one that is complete and looks cut.
+func TestResetOnClose(t *testing.T) {
+	for name, c := range map[string]struct {
+		handler http.HandlerFunc
+		// cut is set if the connection has to be reset.
+		cut bool
+	}{
+		"panic": {handler: func(w http.ResponseWriter, r *http.Request) {
+			conns.ResetOnClose(r, true)
+			_, _ = io.WriteString(w, "some")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}, cut: true},
+		"complete": {handler: func(w http.ResponseWriter, r *http.Request) {
+			conns.ResetOnClose(r, true)
+			_, _ = io.WriteString(w, "some")
+			conns.ResetOnClose(r, false)
+		}},
+		"panic, end marked otherwise": {handler: func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "some")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			l := conns.New(listener, options())
+			server := &http.Server{Handler: c.handler, ConnState: l.ConnState, ConnContext: l.ConnContext}
+			defer func() { _ = server.Close() }()
+			go func() { _ = server.Serve(l) }()
+			caller, err := net.Dial("tcp", listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = caller.Close() }()
+			send(t, caller, "GET / HTTP/1.0\r\nHost: h\r\n\r\n")
+			received, err := io.ReadAll(caller)
+			if c.cut != errors.Is(err, syscall.ECONNRESET) || !c.cut && (err != nil || !strings.HasSuffix(string(received), "some")) {
+				t.Errorf("received %q, error %v; the connection has to be reset: %v", received, err, c.cut)
+			}
+		})
+	}
+}
