Take over a lease that cannot be decoded

A Lease object that could not be decoded kept all nodes from their duties for good: no usage was reported and no upstream ordered, and the counter of ignored objects did not show it.

Cause: the read counted as one without an answer, so that candidates read the object again and again and never wrote it.

Now the event of the read says that the object cannot be decoded and has its version. A lease without a value counts as one of an unknown holder, as a missing one does: it is taken after the takeover delay, counted from when the version was first seen, by a write on condition of that version. Its epoch is the version plus one. Each epoch took a write, so none that was used is above the version.

--- a/core/event/store.go
+++ b/core/event/store.go
@@ -25,7 +25,9 @@
 	Op     model.Op
 	SentAt time.Time
 	Found  bool
-	Object model.Change
+	// Unreadable is set if the object exists, but its value cannot be decoded.
+	Unreadable bool
+	Object     model.Change
 }
 
 // ObjectReadFailed reports a read or list call that got no response.
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -192,7 +192,8 @@
 }
 
 // takeoverAt returns when the observed version will have been unchanged for
-// long enough. A missing object counts as a lease held by an unknown process.
+// long enough. An object that is missing or cannot be decoded counts as a lease held by
+// an unknown process.
 func (s State) takeoverAt() time.Time {
 	if lease, found := s.object.Value(); found && lease.Holder == "" {
 		return s.observedAt
@@ -268,13 +269,24 @@
 	case s.isHolder():
 		return s.sendWrite(next, out)
 	case !at.Before(s.takeoverAt()):
-		next.Epoch++
+		next.Epoch = s.nextEpoch()
 		return s.sendWrite(next, out)
 	default:
 		return s.sendRead(out)
 	}
 }
 
+// nextEpoch returns the epoch of a new holder. That of a lease that cannot be decoded is
+// unknown, but not above the version of the object: each epoch took a write, and each
+// write raises the version.
+func (s State) nextEpoch() model.Epoch {
+	lease, found := s.object.Value()
+	if found {
+		return lease.Epoch + 1
+	}
+	return model.Epoch(s.object.Version()) + 1
+}
+
 func (s State) sendRead(out *Out) State {
 	s.callSeq++
 	var read effect.Effect
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -178,3 +178,36 @@
 		t.Error("a holder that is no candidate any more does not renew the lease")
 	}
 }
+
+// TestUnreadableLease guards against a lease that nobody takes any more because the object
+// cannot be decoded, against a takeover while the previous holder may still act, and
+// against a new holder with an epoch that was used before.
+func TestUnreadableLease(t *testing.T) {
+	h := newHarness(t)
+	answer := func(version model.Version) {
+		t.Helper()
+		read, ok := h.effects[0].(effect.ReadObject)
+		if !ok {
+			t.Fatalf("got %+v, want a read", h.effects)
+		}
+		h.apply(event.ObjectRead{Op: read.Op, Found: true, Unreadable: true, Object: model.Change{Version: version}})
+	}
+	answer(7)
+	h.tick(5 * time.Second)
+	answer(8)
+	for range 2 {
+		h.tick(5 * time.Second)
+		if write, ok := h.sentWrite(); ok {
+			t.Fatalf("got write %+v, want a wait from the change of the object on", write)
+		}
+		answer(8)
+	}
+	h.tick(10 * time.Millisecond)
+	write, ok := h.sentWrite()
+	if !ok || write.IfVersion != 8 || write.Value.(model.Lease).Holder != "n" || write.Value.(model.Lease).Epoch != 9 {
+		t.Fatalf("got %+v, want a takeover of version 8 with an epoch above 8", h.effects)
+	}
+	sentAt := h.now
+	h.apply(event.ObjectWritten{Op: write.Op, SentAt: sentAt, Version: 9})
+	h.wantRaised(event.AuthorityChanged{Held: true, Epoch: 9, Until: sentAt.Add(9990 * time.Millisecond)})
+}
--- a/core/record/copy.go
+++ b/core/record/copy.go
@@ -108,7 +108,7 @@
 func (c Copy[V]) Value() (V, bool) { return c.value, c.found }
 
 // Version returns the last known version. Zero means that the object did not
-// exist.
+// exist. An object with a version that has no value cannot be decoded.
 func (c Copy[V]) Version() model.Version { return c.version }
 
 // WithValue returns a valid copy with a value obtained from another source.
@@ -127,13 +127,17 @@
 }
 
 // handleObjectRead applies the response to a read, unless it is older than the
-// copy or cannot be decoded.
+// copy. An object that cannot be decoded has a version, but no value.
 func (c Copy[V]) handleObjectRead(e event.ObjectRead) (Copy[V], Result) {
 	var zero V
 	if !e.Found {
 		c.valid, c.found, c.version, c.value = true, false, 0, zero
 		return c, Read
 	}
+	if e.Unreadable && e.Object.Version >= c.version {
+		c.valid, c.found, c.version, c.value = true, false, e.Object.Version, zero
+		return c, Read
+	}
 	value, ok := e.Object.Value.(V)
 	if !ok || e.Object.Version < c.version {
 		return c, Failed
