Saturate the estimates of waits for very large token counts

A request that declared 10^12 prompt tokens or more was sent to an engine that cannot serve it in time, instead of being refused at once.

Cause: core/serve/place.go converts tokens to times, and the product overflowed. The wait became negative (the conversion of a float that is out of range differs between arm64 and x86-64 too), so that the check of the wait passed.

Now the work of a prompt is at most 10^7 tokens, some minutes of an engine, and an estimated wait at most an hour. The wait for the tokens that an engine has in its cache already is zero, never negative.

Ruled out: a limit when the request is decoded. The declared numbers are the cost in the account's limit, which must not change. Sums of the declared parts of a prompt (core/serve/cache.go) and the costs in core/quota were not examined.

Before: TestLargeTokenCounts fails with "FirstEvent:-2346276h7m53.676561616s" and with a forward for the larger counts. After: it passes, and the tests of core/serve and core/place.

--- a/core/serve/place.go
+++ b/core/serve/place.go
@@ -54,6 +54,11 @@
 	// at which they add half of that.
 	maxWaitLoad  = 0.4
 	waitLoadTime = 200 * time.Millisecond
+	// maxPromptWork bounds the work of a prompt, in tokens, and maxWait an estimated wait.
+	// Both are far above what can be served, and small enough for calculations with
+	// times. Callers declare the number of tokens, which may be any.
+	maxPromptWork = 1e7
+	maxWait       = time.Hour
 	// urgentShare is the part of the target latency of more urgent requests that other
 	// prompts may make them wait.
 	urgentShare = 0.8
@@ -158,7 +163,7 @@
 	if c.Upstream.Role != model.RolePrefill {
 		token *= mixedFactor
 	}
-	backlog := time.Duration(c.PromptBacklog() * float64(token))
+	backlog := waitFor(c.PromptBacklog(), token)
 	if c.Upstream.Zone != c.zone {
 		backlog += crossZonePenalty
 	}
@@ -304,13 +309,20 @@
 		choice.copyFrom = caches.source(c).Address
 	}
 	choice.queued = c.Backlog() - c.hintedBacklog()
-	choice.wait = choice.queued + prefix.CopyTime + time.Duration(choice.tokens)*token
+	choice.wait = choice.queued + prefix.CopyTime + waitFor(choice.tokens, token)
 	return choice, true
 }
 
 // promptWork returns the work of computing a prompt, in tokens of a short
 // prompt.
-func promptWork(tokens int) float64 { return float64(tokens) * (1 + float64(tokens)/attentionParity) }
+func promptWork(tokens int) float64 {
+	return min(maxPromptWork, float64(tokens)*(1+float64(tokens)/attentionParity))
+}
+
+// waitFor returns the time to compute a number of tokens.
+func waitFor(tokens float64, token time.Duration) time.Duration {
+	return time.Duration(min(float64(maxWait), max(0, tokens)*float64(token)))
+}
 
 // assignEngines divides the prefill engines of the node's availability zone
 // among the nodes of that zone, in order of the engines' names.
