Do not count upstreams that are leaving as capacity in the plan

The successor of an upstream that had said that it is leaving was ordered only once its entry was gone, and ordinary upstreams could be released meanwhile.

Cause: planScale counted all active entries of the registry, which may lag behind what the upstream said in an answer.

Now a leaving upstream counts for the maximum of its zone, but not as present. Whether the platform counts it until it is gone is not known, so its end leads to another order at once; the number ordered stays the same.

After: the tests of core/scaler pass.

--- a/core/scaler/scaler.go
+++ b/core/scaler/scaler.go
@@ -65,6 +65,19 @@
 	cheap   bool
 }
 
+// groupSize is the number of upstreams of a group, and of those that are not leaving. The
+// others count for the maximum, but are no capacity.
+type groupSize struct{ present, usable int }
+
+// with returns the size with another upstream.
+func (g groupSize) with(u fleet.Upstream) groupSize {
+	g.present++
+	if !u.Leaving() {
+		g.usable++
+	}
+	return g
+}
+
 // sentOrder is the last order for a group of upstreams or for an engine.
 type sentOrder struct {
 	op model.Op
@@ -72,6 +85,9 @@
 	// peak is the largest number present since then. For the role of an
 	// engine, count is 1 for prefill and 0 for decode.
 	count, peak int
+	// present is the number of upstreams when the order was sent, with those that are
+	// leaving.
+	present int
 	// pending is set until the order is answered.
 	pending bool
 	// nextAt is when the next order may be sent.
@@ -213,10 +229,11 @@
 func (s State) planScale(
 	at time.Time, name model.ServiceName, service model.Service, view View, out *Out,
 ) State {
-	current := map[upstreamGroup]int{}
+	sizes := map[upstreamGroup]groupSize{}
 	for _, u := range view.Fleet.ActiveUpstreams(name) {
 		if upstream, found := view.Fleet.Get(u); found {
-			current[upstreamGroup{name, upstream.Zone, upstream.Cheap}]++
+			group := upstreamGroup{name, upstream.Zone, upstream.Cheap}
+			sizes[group] = sizes[group].with(upstream)
 		}
 	}
 	zones := view.Fleet.ZonesByPrice(service.Scaling.Prices)
@@ -225,10 +242,10 @@
 	for _, zone := range zones {
 		ordinary, cheap := upstreamGroup{name, zone, false}, upstreamGroup{name, zone, true}
 		// The maximum applies to ordinary and cheap upstreams together.
-		count := min(maxCheap, service.Scaling.Max-max(minOrdinary, current[ordinary]))
-		s = s.orderScale(at, cheap, count, current[cheap], service, out)
-		if current[cheap] >= count || !s.hasWork {
-			s = s.orderScale(at, ordinary, minOrdinary, current[ordinary], service, out)
+		count := min(maxCheap, service.Scaling.Max-max(minOrdinary, sizes[ordinary].present))
+		s = s.orderScale(at, cheap, count, sizes[cheap], service, out)
+		if sizes[cheap].usable >= count || !s.hasWork {
+			s = s.orderScale(at, ordinary, minOrdinary, sizes[ordinary], service, out)
 		}
 	}
 	return s
@@ -238,10 +255,13 @@
 // order, or if upstreams are missing. Before nextAt it does so only if
 // upstreams disappeared or the count grew.
 func (s State) orderScale(
-	at time.Time, g upstreamGroup, count, current int, service model.Service, out *Out,
+	at time.Time, g upstreamGroup, count int, size groupSize, service model.Service, out *Out,
 ) State {
 	last, found := s.scaleOrders.Get(g)
-	lost := current < last.peak
+	current := size.usable
+	// Whether the platform counts an upstream that is leaving is not known, so its end is
+	// a reason for another order too.
+	lost := current < last.peak || current < count && size.present < last.present
 	if found && current > last.peak {
 		last.peak = current
 		s.scaleOrders = s.scaleOrders.Set(g, last)
@@ -251,7 +271,7 @@
 		return s
 	}
 	s, op := s.nextOp()
-	s.scaleOrders = s.scaleOrders.Set(g, sentOrder{op: op, count: count, peak: current, pending: true})
+	s.scaleOrders = s.scaleOrders.Set(g, sentOrder{op: op, count: count, peak: current, present: size.present, pending: true})
 	out.Emit(effect.OrderScale{
 		Op: op, Service: service.Name, Zone: g.zone, Cheap: g.cheap, Count: count, Epoch: s.epoch, NotAfter: s.leaseUntil,
 	})
--- a/core/scaler/scaler_test.go
+++ b/core/scaler/scaler_test.go
@@ -281,3 +281,33 @@
 		t.Error("no role change after the pauses")
 	}
 }
+
+// TestPlanOfLeaving guards against upstreams that have said that they are leaving and that
+// count as capacity: their successors were ordered, and ordinary upstreams kept, only once
+// they were gone.
+func TestPlanOfLeaving(t *testing.T) {
+	sim := newSimulation()
+	sim.apply(event.AuthorityChanged{Held: true, Epoch: 1, Until: start.Add(time.Hour)})
+	sim.apply(event.DemandArrived{Demand: model.ServiceDemand{Service: "llm", Prompt: 100}})
+	sim.run(40 * time.Second)
+	before := len(sim.scales)
+	sim.run(20 * time.Second)
+	if len(sim.scales) != before {
+		t.Fatalf("orders %+v although nothing changed", sim.scales[before:])
+	}
+	leaving := sim.count("a", true)[0]
+	sim.apply(event.UpstreamLeaving{Instance: model.UpstreamInstance{Name: leaving, Incarnation: 1}})
+	sim.run(2 * time.Second)
+	orders := sim.scales[before:]
+	if len(orders) != 1 || orders[0].Zone != "a" || !orders[0].Cheap || orders[0].Count != maxUpstreams-1 {
+		t.Errorf("orders %+v, want one for the cheap upstreams of zone a within the maximum", orders)
+	}
+	// The platform may count the upstream until it is gone.
+	sim.pending = nil
+	delete(sim.upstreams, leaving)
+	sim.publish()
+	sim.run(time.Second)
+	if orders = sim.scales[before:]; len(orders) != 2 || orders[1].Count != maxUpstreams-1 {
+		t.Errorf("orders %+v, want another one at once when the upstream is gone", orders)
+	}
+}
