Do not count the end of a leaving upstream as a crash

A request whose upstreams had said that they are leaving and then ended was refused as CrashSuspect from the second end on, for ten minutes, and the parts of its prompt could be held.

Cause: an attempt whose connection broke and whose upstream accepts no connections counts as a crash, whatever the process had said before.

Now the reducer takes the end of such a process for one that cannot be reached: it is avoided as before, but neither the content of the request nor the parts of its prompt are counted. What the process said is looked up by instance, so a new process of that name is not excused.

Ruled out: excusing upstreams of which only a peer said that they are leaving; the peer may be wrong.

Before: core/serve TestEndOfLeaving fails with "leaving true, 2 ends: request sent false, want true" and "crashes counted [{9 2}]". After: the tests of core/serve pass. The test looks at the counts by content only; the parts have the same cause and no test of their own.

--- a/core/fleet/notice.go
+++ b/core/fleet/notice.go
@@ -91,6 +91,10 @@
 	return n.leaving || n.pause.runs(at)
 }
 
+// Leaves reports whether an instance of an upstream said that it is leaving, even if the
+// registry no longer lists it.
+func (s State) Leaves(u model.Upstream) bool { return s.noticeOf(instanceOf(u)).leaving }
+
 // admits reports whether a request may be placed at the instance.
 func (n notice) admits(at time.Time) bool { return !n.leaving && n.pause.admits(at) }
 
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -181,7 +181,7 @@
 	case event.ForwardBegan:
 		s = s.handleForwardBegan(e, view, &out)
 	case event.ForwardEnded:
-		s = s.handleForwardEnded(e, view, &out)
+		s = s.handleForwardEnded(s.withExpectedEnd(e, view), view, &out)
 	case event.ForwardSilent:
 		s = s.handleForwardSilent(e, view, &out)
 	case event.CallerGone:
@@ -198,6 +198,17 @@
 	return s.withNews(in.At, &out), out
 }
 
+// withExpectedEnd returns the end of an attempt with the end of a process that said that it
+// is leaving taken for one that cannot be reached, not for a crash: it is no fault of the
+// requests that it ran.
+func (s State) withExpectedEnd(e event.ForwardEnded, view View) event.ForwardEnded {
+	req, found := s.open.Get(e.Ticket)
+	if found && e.Crashed && e.Attempt == req.attempt && view.Fleet.Leaves(req.upstream) {
+		e.Crashed, e.Unreachable = false, true
+	}
+	return e
+}
+
 // handleReport adds the crash counts and the suspicions of a peer or of another cell.
 func (s State) handleReport(r model.Report, view View) State {
 	if len(r.Crashes) > 0 {
--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -298,6 +298,36 @@
 	}
 }
 
+// TestEndOfLeaving guards against requests and parts of prompts that are taken for the cause
+// of crashes because the upstreams that ran them had said that they are leaving, and ended.
+func TestEndOfLeaving(t *testing.T) {
+	for _, leaving := range []bool{true, false} {
+		h := newHarness()
+		parts := []model.PromptPart{{Hash: 1, ID: 1, Tokens: 10}, {Hash: 2, ID: 2, Tokens: 10}}
+		for i := range 3 {
+			h.now += 100 * time.Millisecond
+			h.forward = nil
+			h.apply(event.SiteArrived{Ticket: 1, Request: model.SiteRequest{
+				ID: "r", Host: "h", Path: "/send/1", HasKey: true, KeyHash: key, Fingerprint: 9, Parts: parts,
+				ArrivedAt: startTime.Add(h.now), CallerDeadline: startTime.Add(h.now + time.Second),
+			}})
+			if sent, want := h.forward != nil, leaving || i < 2; sent != want {
+				t.Errorf("leaving %v, %d ends: request sent %v, want %v", leaving, i, sent, want)
+			}
+			if h.forward == nil {
+				break
+			}
+			if leaving {
+				h.apply(event.UpstreamLeaving{Instance: model.UpstreamInstance{Name: h.forward.Upstream.Name}})
+			}
+			h.endAttempt(event.ForwardEnded{Outcome: model.Broken, Crashed: true})
+		}
+		if counted := len(h.serve.Crashes()) > 0; counted == leaving {
+			t.Errorf("leaving %v: crashes counted %v", leaving, h.serve.Crashes())
+		}
+	}
+}
+
 // TestCallerGone guards against work that continues after the caller has
 // disconnected.
 func TestCallerGone(t *testing.T) {
