Go on with an answer when the run after a given-up one does not start

Callers lost the rest of a stream: its upstream fell silent and accepted no connection, its run was given up, and the next upstream rejected the request or broke off before it ran it. With no upstream left that had not seen the request, after four rejections, or with the retry budget spent for a moment, the request ended, although its deadline and its runs allowed more. The upstream that was given up was often sound again by then.

Ruled out: one rejection with another untried upstream at hand; the next one already got the request.

A request of which a run was given up is now sent on only to upstreams that are not avoided. If there is none, or the budget is spent, it waits for 100 ms and looks again, also at those that it was sent to before, until its deadline or until the caller leaves. A rejected run still costs a retry, and a rejecting upstream is avoided for 200 ms, so that the request does not go round in a loop. An error response that can be passed on still is, at once.

Only a request whose run was given up may wait.

--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -275,9 +275,10 @@
 		return s.finish(e.Ticket, req, out)
 	}
 	req = req.withoutUpstream()
+	req.givenUp = req.givenUp || e.Stalled
 	if notRun {
 		req.rejections++
-		if req.rejections > maxRejections {
+		if req.rejections > maxRejections && !req.mayWait() {
 			return s.failUnplaced(e.Ticket, req, model.NoUpstream, view, out)
 		}
 		return s.retryElsewhere(e, req, view, out)
@@ -296,6 +297,10 @@
 // of its service. An attempt that did not reach its upstream does not consume
 // the budget, and for one that was given up it has been asked already.
 func (s State) retryElsewhere(e event.ForwardEnded, req openRequest, view View, out *Out) State {
+	if req.mayWait() && !e.Stalled {
+		req.further = further{reason: retryReason(e, req), needsRetry: e.Outcome != model.NotSent && !req.silence.retryTaken}
+		return s.goOn(e.Ticket, req, view, out)
+	}
 	if e.Outcome != model.NotSent && !req.silence.retryTaken {
 		budget, ok := s.budget(req.service.Name, view).WithRetry(view.At)
 		s.retries = s.retries.Set(req.service.Name, budget)
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -129,6 +129,10 @@
 	// retryCheck is set if the retry budget did not allow another attempt.
 	retryCheck model.RetryCheck
 	silence    silence
+	// givenUp is set once a run was given up because its upstream was silent, and
+	// further is the attempt that is due if none is running.
+	givenUp bool
+	further further
 	// begunAt is when the answer of the running attempt began, or zero, and pastStart
 	// is set once it has got past its start.
 	begunAt   time.Time
@@ -150,7 +154,9 @@
 	starts fifo[start]
 	// announceAt is when the peers have to be told of suspected parts, or zero.
 	announceAt time.Time
-	retries    *immutable.SortedMap[model.ServiceName, retry.Budget]
+	// waits are the requests that wait for an upstream that can start them.
+	waits   *immutable.SortedMap[wait, struct{}]
+	retries *immutable.SortedMap[model.ServiceName, retry.Budget]
 }
 
 // New returns a state without open requests.
@@ -160,6 +166,7 @@
 		open:    immutable.NewMap[model.Ticket, openRequest](ticketHasher{}),
 		crashes: crash.New(),
 		poison:  poison.New(),
+		waits:   immutable.NewSortedMap[wait, struct{}](waitComparer{}),
 		retries: immutable.NewSortedMap[model.ServiceName, retry.Budget](nil),
 	}
 }
@@ -194,6 +201,7 @@
 		s = s.handleReport(e.Report, view)
 	case event.Tick:
 		s.poison = s.poison.WithTime(in.At)
+		s = s.endWaits(view, &out)
 	}
 	return s.withNews(in.At, &out), out
 }
--- a/core/serve/silence.go
+++ b/core/serve/silence.go
@@ -4,6 +4,7 @@
 	"caroblane/core/crash"
 	"caroblane/core/effect"
 	"caroblane/core/event"
+	"caroblane/core/fleet"
 	"caroblane/core/model"
 	"caroblane/core/retry"
 )
@@ -38,7 +39,7 @@
 	if !allowed {
 		return s
 	}
-	next, found := pickIdle(req, view)
+	next, found := pickIdle(req.withoutUpstream(), view)
 	if !found {
 		return s
 	}
@@ -76,10 +77,15 @@
 	return budget.WithRetry(view.At)
 }
 
-// pickIdle selects another upstream that can start a run of the request at once: one that
-// is not avoided and has a free slot.
+// pickIdle selects an upstream that can start a run of the request at once: one that is
+// not avoided and has a free slot.
 func pickIdle(req openRequest, view View) (model.Upstream, bool) {
-	req = req.withoutUpstream()
+	u, found := pickUpstream(req, view)
+	return u.Upstream, found && !u.Avoided(view.At) && u.RunningRequests() < max(1, u.Slots)
+}
+
+// pickUpstream selects an upstream for a run of the request.
+func pickUpstream(req openRequest, view View) (fleet.Upstream, bool) {
 	var picked model.Upstream
 	var found bool
 	if req.service.Engine {
@@ -90,10 +96,9 @@
 		picked, found = pickService(req, view)
 	}
 	if !found {
-		return model.Upstream{}, false
+		return fleet.Upstream{}, false
 	}
-	u, found := view.Fleet.Get(picked.Name)
-	return picked, found && !u.Avoided(view.At) && u.RunningRequests() < max(1, u.Slots)
+	return view.Fleet.Get(picked.Name)
 }
 
 // withoutUpstream returns the request after a run at its upstream, which gets no other
--- a/core/serve/silence_test.go
+++ b/core/serve/silence_test.go
@@ -151,7 +151,8 @@
 }
 
 // TestAnswerEndedBySilence guards, over random silences, retry budgets and fleets, against
-// an answer that ends because of silence before its deadline, and against a second run of
+// an answer that ends before its deadline because of silence, or because a run that follows
+// a given-up one does not start, and against a second run of
 // an answer that has begun at an upstream that is reachable.
 func TestAnswerEndedBySilence(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -170,6 +171,14 @@
 			default:
 				attempt, reachable := h.forward.Attempt, rapid.Bool().Draw(t, "reachable")
 				h.fallSilent(begun, reachable, lastEvent)
+				for h.forward != nil && h.forward.Attempt != attempt && rapid.Bool().Draw(t, "does not start") {
+					outcome := rapid.SampledFrom([]model.Outcome{model.Rejected, model.NotSent}).Draw(t, "outcome")
+					h.endAttempt(event.ForwardEnded{Outcome: outcome})
+					h.awaitAttempt()
+				}
+				if h.now >= time.Minute && len(h.replies) > 0 {
+					return
+				}
 				if len(h.replies) > 0 {
 					t.Fatalf("silence has ended the request: %+v", h.replies)
 				}
--- a/core/serve/suspect.go
+++ b/core/serve/suspect.go
@@ -34,6 +34,9 @@
 // Next returns when the component needs a Tick, or the zero time if it needs none.
 func (s State) Next() time.Time {
 	next := step.Earliest(s.announceAt, s.poison.Next())
+	if first, found := s.firstWait(); found {
+		next = step.Earliest(next, first.at)
+	}
 	if first, found := s.starts.First(); found && s.poison.HasOpen() {
 		next = step.Earliest(next, first.at)
 	}
--- a/core/serve/withheld.go
+++ b/core/serve/withheld.go
@@ -32,8 +32,11 @@
 
 // failUnplaced ends a request that is sent to no further upstream for a reason. If all
 // of them asked for a pause, this is the reason, and the caller is told to come back
-// after the first one.
+// after the first one. A request of which a run was given up waits instead.
 func (s State) failUnplaced(ticket model.Ticket, req openRequest, reason model.Reason, view View, out *Out) State {
+	if req.mayWait() {
+		return s.await(ticket, req, view)
+	}
 	end, all := view.Fleet.PauseEnd(req.service.Name, view.At, func(u fleet.Upstream) bool {
 		// An engine that only computes prompts cannot take a request without another one.
 		return !req.service.Engine || u.Role != model.RolePrefill
