Return the retry of a run that does not start

Requests whose upstream was silent got no other run, and others were declined with RetryBudgetSpent, although fewer retries had been sent than the budget allows.

Cause: a retry is counted when a silent attempt is to be given up, and it stayed counted for 10 s when the attempt went on, completed or was never sent, and when the run after it was not sent.

Ruled out: a rejected run. It has reached an upstream, which is the load that the budget limits, so its retry stays spent.

retry.WithRetry now gives a token, and WithoutRetry returns the retry to the second in which it was counted. core/serve keeps the token until an attempt has reached an upstream, hands it on if it has not, and returns it at the end of the request and while the request waits. The new event.AbandonIgnored tells at once that an attempt goes on; so far only the next report of silence did.

Tests: calls of WithRetry and silence.abandon follow the new signatures, and TestUnreadReplies plays the new event.

--- a/core/edge/receivers.go
+++ b/core/edge/receivers.go
@@ -26,7 +26,7 @@
 // go to every component, which ignores those that it does not handle.
 func receiversOf(e event.Event) receivers {
 	switch e.(type) {
-	case event.SiteArrived, event.ForwardBegan, event.ForwardEnded, event.ForwardSilent, event.CallerGone,
+	case event.SiteArrived, event.ForwardBegan, event.ForwardEnded, event.ForwardSilent, event.AbandonIgnored, event.CallerGone,
 		event.QuotaGranted, event.QuotaRefused:
 		return toServe
 	case event.QuotaAsked, event.QuotaReturned:
--- a/core/effect/site.go
+++ b/core/effect/site.go
@@ -9,7 +9,7 @@
 // AbandonAttempt gives up an attempt whose upstream is silent, because another run can
 // start at once. The attempt closes its connection and ends with event.ForwardEnded. If
 // the upstream has sent data since the report, or the next one accepts no connection, the
-// attempt goes on.
+// attempt goes on and event.AbandonIgnored follows.
 type AbandonAttempt struct {
 	Ticket  model.Ticket
 	Attempt int
--- a/core/event/site.go
+++ b/core/event/site.go
@@ -6,6 +6,15 @@
 	"caroblane/core/model"
 )
 
+// AbandonIgnored reports that an attempt goes on although effect.AbandonAttempt was to
+// give it up.
+type AbandonIgnored struct {
+	Ticket  model.Ticket
+	Attempt int
+	// Ignored is the number of these effects so far, as in ForwardSilent.
+	Ignored int
+}
+
 // ForwardBegan reports the first event of a stream, or the start of a response
 // that is not a stream.
 type ForwardBegan struct {
@@ -116,6 +125,7 @@
 	Upstreams []model.Upstream
 }
 
+func (AbandonIgnored) isEvent()     {}
 func (ForwardBegan) isEvent()       {}
 func (ForwardEnded) isEvent()       {}
 func (ForwardSilent) isEvent()      {}
--- a/core/flow/attempt.go
+++ b/core/flow/attempt.go
@@ -96,7 +96,7 @@
 	mayRepeat := notRun || !req.needsClaim
 	if mayRepeat && req.attempt < maxAttempts {
 		var ok bool
-		if s.retries, ok = s.retries.WithRetry(view.At); !ok {
+		if s.retries, _, ok = s.retries.WithRetry(view.At); !ok {
 			return s.fail(e.Ticket, req, newRefusal(model.RetryBudgetSpent, model.NotRun, 1), out)
 		}
 		out.Emit(effect.CountRetry{Reason: retryReason(e.Outcome)})
@@ -117,7 +117,7 @@
 		return s.fail(e.Ticket, req, newRefusal(model.StreamTruncated, model.OutcomeUnknown, 0), out)
 	}
 	var ok bool
-	if s.retries, ok = s.retries.WithRetry(view.At); !ok {
+	if s.retries, _, ok = s.retries.WithRetry(view.At); !ok {
 		return s.fail(e.Ticket, req, newRefusal(model.RetryBudgetSpent, model.OutcomeUnknown, 1), out)
 	}
 	progress := e.TokensPassed > req.resumedTokens
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -44,6 +44,15 @@
 // copied with the state of the node on each event.
 type slot struct{ requests, retries int32 }
 
+// Token identifies a retry that a budget has counted. The zero value identifies none.
+type Token struct {
+	second int64
+	taken  bool
+}
+
+// Taken reports whether the token identifies a retry.
+func (t Token) Taken() bool { return t.taken }
+
 // New returns a budget that has counted no requests.
 func New(limits Limits) Budget { return Budget{limits: limits} }
 
@@ -60,15 +69,24 @@
 	return b
 }
 
-// WithRetry returns the budget after counting a retry, or false if the limits
-// do not allow the retry.
-func (b Budget) WithRetry(at time.Time) (Budget, bool) {
+// WithRetry returns the budget after counting a retry, and a token for it, or false if
+// the limits do not allow the retry.
+func (b Budget) WithRetry(at time.Time) (Budget, Token, bool) {
 	b = b.advancedTo(at)
 	if _, retries, limit := b.Usage(at); float64(retries+1) > limit {
-		return b, false
+		return b, Token{}, false
 	}
 	b.slots[b.second%windowSeconds].retries++
-	return b, true
+	return b, Token{second: b.second, taken: true}, true
+}
+
+// WithoutRetry returns the budget without a retry that was counted but not made. One that
+// has left the window no longer counts.
+func (b Budget) WithoutRetry(t Token) Budget {
+	if t.taken && b.second-t.second < windowSeconds {
+		b.slots[t.second%windowSeconds].retries--
+	}
+	return b
 }
 
 // Usage returns the numbers of requests and retries within the window, and the
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -33,7 +33,7 @@
 			take := func(at time.Time, limit int) int {
 				for taken := range limit {
 					var ok bool
-					if b, ok = b.WithRetry(at); !ok {
+					if b, _, ok = b.WithRetry(at); !ok {
 						return taken
 					}
 				}
@@ -48,3 +48,34 @@
 		})
 	}
 }
+
+// TestWithoutRetry guards against a retry that is returned but stays spent, and against
+// one that is returned twice or to a second in which it was not counted.
+func TestWithoutRetry(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	for name, c := range map[string]struct {
+		// laterAfter is when another retry is counted, and returnedAfter when the first
+		// one is returned.
+		laterAfter, returnedAfter time.Duration
+		want                      int
+	}{
+		"at once":         {0, 0, 1},
+		"next second":     {time.Second, time.Second, 1},
+		"last second":     {9 * time.Second, 9 * time.Second, 1},
+		"left the window": {10 * time.Second, 10 * time.Second, 1},
+		"long pause":      {time.Hour, time.Hour, 1},
+		"clock back":      {-time.Minute, -time.Minute, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, token, ok := New(Limits{Fixed: 3}).WithRetry(start)
+			if !ok || !token.Taken() {
+				t.Fatal("no retry at the start")
+			}
+			b, _, _ = b.WithRetry(start.Add(c.laterAfter))
+			b = b.WithoutRetry(Token{}).WithoutRetry(token)
+			if _, retries, _ := b.Usage(start.Add(c.returnedAfter)); retries != c.want {
+				t.Errorf("%d retries are counted, want %d", retries, c.want)
+			}
+		})
+	}
+}
--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -43,7 +43,7 @@
 		return s.dispatchToEngine(ticket, req, view, out)
 	}
 	u, found := pickService(req, view)
-	if !found && req.silence.retryTaken {
+	if !found && req.silence.next.Name != "" {
 		u, found = req.silence.next, true
 	}
 	if !found {
@@ -64,7 +64,7 @@
 		return s.failUnplaced(ticket, req, model.NoUpstream, view, out)
 	}
 	choice, found := pickEngine(req, view)
-	if !found && req.silence.retryTaken {
+	if !found && req.silence.next.Name != "" {
 		choice = engineChoice{
 			upstream: req.silence.next, tokens: promptWork(req.received.PromptTokens), added: req.received.PromptTokens,
 		}
@@ -196,6 +196,7 @@
 	req.running = false
 	out.Raise(event.UseChanged{Upstream: req.upstream.Name, Prompt: -req.load.Prompt, Runs: -req.load.Runs})
 	req = req.settle(e.Outcome == model.Completed && e.Status < http.StatusInternalServerError, out)
+	s, req = s.settleRetry(req, e.Outcome)
 	if e.Withheld && e.Outcome == model.NotSent {
 		return s.placeAgain(e.Ticket, req, view, out)
 	}
@@ -295,15 +296,16 @@
 
 // retryElsewhere sends a request to another upstream, within the retry budget
 // of its service. An attempt that did not reach its upstream does not consume
-// the budget, and for one that was given up it has been asked already.
+// the budget, and for the run after a given-up one it has been asked already.
 func (s State) retryElsewhere(e event.ForwardEnded, req openRequest, view View, out *Out) State {
 	if req.mayWait() && !e.Stalled {
-		req.further = further{reason: retryReason(e, req), needsRetry: e.Outcome != model.NotSent && !req.silence.retryTaken}
+		req.further = further{reason: retryReason(e, req), needsRetry: e.Outcome != model.NotSent && !req.retry.Taken()}
 		return s.goOn(e.Ticket, req, view, out)
 	}
-	if e.Outcome != model.NotSent && !req.silence.retryTaken {
-		budget, ok := s.budget(req.service.Name, view).WithRetry(view.At)
+	if e.Outcome != model.NotSent && !req.retry.Taken() {
+		budget, token, ok := s.budget(req.service.Name, view).WithRetry(view.At)
 		s.retries = s.retries.Set(req.service.Name, budget)
+		req.retry = token
 		if !ok {
 			requests, retries, limit := budget.Usage(view.At)
 			req.retryCheck = model.RetryCheck{Service: req.service.Name, Requests: requests, Retries: retries, Limit: limit}
@@ -387,8 +389,10 @@
 	return s.remove(ticket, req, out)
 }
 
-// remove deletes a request and frees a KV cache that is no longer needed.
+// remove deletes a request, returns what it did not use of the retry budget, and frees a
+// KV cache that is no longer needed.
 func (s State) remove(ticket model.Ticket, req openRequest, out *Out) State {
+	s = s.withoutRetry(req.service.Name, req.retry)
 	if req.kvHandle != "" {
 		out.Emit(effect.FreeHandle{Upstream: req.prefillEngine, Handle: req.kvHandle})
 	}
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -128,7 +128,10 @@
 	lastEvent       string
 	// retryCheck is set if the retry budget did not allow another attempt.
 	retryCheck model.RetryCheck
-	silence    silence
+	// retry is the retry that was counted for the running attempt, or for the one that
+	// is due. It is returned if no attempt reaches an upstream.
+	retry   retry.Token
+	silence silence
 	// givenUp is set once a run was given up because its upstream was silent, and
 	// further is the attempt that is due if none is running.
 	givenUp bool
@@ -191,6 +194,8 @@
 		s = s.handleForwardEnded(e, view, &out)
 	case event.ForwardSilent:
 		s = s.handleForwardSilent(e, view, &out)
+	case event.AbandonIgnored:
+		s = s.handleAbandonIgnored(e)
 	case event.CallerGone:
 		s = s.handleCallerGone(e.Ticket, &out)
 	case event.SyncAnswered:
@@ -252,6 +257,14 @@
 	})
 }
 
+// withoutRetry returns a retry that was not made to the budget of a service.
+func (s State) withoutRetry(service model.ServiceName, t retry.Token) State {
+	if b, found := s.retries.Get(service); found && t.Taken() {
+		s.retries = s.retries.Set(service, b.WithoutRetry(t))
+	}
+	return s
+}
+
 // budgetMargin keeps the retries of all nodes below the platform's limit, whose
 // window need not begin at a full second.
 const budgetMargin = 0.75
--- a/core/serve/silence.go
+++ b/core/serve/silence.go
@@ -15,10 +15,10 @@
 	// effect.AbandonAttempt to the attempt.
 	reports  int
 	abandons int
-	// retryTaken is set once the retry budget has allowed the run that follows the
-	// attempt, and next is an upstream that could take it then.
-	retryTaken bool
-	next       model.Upstream
+	// retry is the retry that was counted for the run that follows the attempt, and next
+	// is an upstream that could take it then.
+	retry retry.Token
+	next  model.Upstream
 }
 
 // handleForwardSilent decides whether an attempt whose upstream is silent is given up
@@ -31,11 +31,14 @@
 		return s
 	}
 	req.silence.reports = e.Report
+	if e.Ignored >= req.silence.abandons {
+		s, req = s.withoutNext(req)
+	}
 	s.open = s.open.Set(e.Ticket, req)
 	if e.Ignored < req.silence.abandons || !s.mayAbandon(req, e, view) {
 		return s
 	}
-	budget, allowed := s.takeRetry(req, view)
+	budget, token, allowed := s.budget(req.service.Name, view).WithRetry(view.At)
 	if !allowed {
 		return s
 	}
@@ -44,7 +47,7 @@
 		return s
 	}
 	s.retries = s.retries.Set(req.service.Name, budget)
-	req.silence.retryTaken, req.silence.next = true, next
+	req.silence.retry, req.silence.next = token, next
 	req.silence.abandons++
 	s.open = s.open.Set(e.Ticket, req)
 	out.Emit(effect.AbandonAttempt{Ticket: e.Ticket, Attempt: e.Attempt, Report: e.Report, Next: next})
@@ -67,14 +70,36 @@
 	return s.crashes.Verdict(req.received.Fingerprint, view.At) == crash.Normal
 }
 
-// takeRetry returns the retry budget after the run that follows the running attempt,
-// and whether the budget allows that run.
-func (s State) takeRetry(req openRequest, view View) (retry.Budget, bool) {
-	budget := s.budget(req.service.Name, view)
-	if req.silence.retryTaken {
-		return budget, true
+// handleAbandonIgnored returns the retry of a run that does not follow, because the
+// attempt before it goes on.
+func (s State) handleAbandonIgnored(e event.AbandonIgnored) State {
+	req, found := s.open.Get(e.Ticket)
+	if !found || !req.running || e.Attempt != req.attempt || e.Ignored < req.silence.abandons {
+		return s
+	}
+	s, req = s.withoutNext(req)
+	s.open = s.open.Set(e.Ticket, req)
+	return s
+}
+
+// withoutNext cancels the run that was to follow the running attempt.
+func (s State) withoutNext(req openRequest) (State, openRequest) {
+	s = s.withoutRetry(req.service.Name, req.silence.retry)
+	req.silence.retry, req.silence.next = retry.Token{}, model.Upstream{}
+	return s, req
+}
+
+// settleRetry accounts for the retries of an attempt that has ended and of the run that was
+// to follow it. An attempt that did not reach its upstream leaves its retry to the next one,
+// which needs no other.
+func (s State) settleRetry(req openRequest, outcome model.Outcome) (State, openRequest) {
+	if outcome == model.NotSent {
+		s = s.withoutRetry(req.service.Name, req.silence.retry)
+	} else {
+		req.retry = req.silence.retry
 	}
-	return budget.WithRetry(view.At)
+	req.silence.retry = retry.Token{}
+	return s, req
 }
 
 // pickIdle selects an upstream that can start a run of the request at once: one that is
--- a/core/serve/unread_test.go
+++ b/core/serve/unread_test.go
@@ -48,6 +48,7 @@
 			h.end(event.ForwardEnded{Outcome: model.Broken, Stalled: true})
 		default:
 			h.ignored++
+			h.events = append(h.events, event.AbandonIgnored{Ticket: 1, Attempt: h.attempt, Ignored: h.ignored})
 		}
 	default:
 		h.answers++
--- a/core/serve/wait.go
+++ b/core/serve/wait.go
@@ -6,6 +6,7 @@
 
 	"caroblane/core/effect"
 	"caroblane/core/model"
+	"caroblane/core/retry"
 )
 
 // waitInterval is the time after which a request that waits looks for an upstream again.
@@ -55,21 +56,26 @@
 		return s.await(ticket, req, view)
 	}
 	if req.further.needsRetry {
-		budget, allowed := s.budget(req.service.Name, view).WithRetry(view.At)
+		budget, token, allowed := s.budget(req.service.Name, view).WithRetry(view.At)
 		s.retries = s.retries.Set(req.service.Name, budget)
 		if !allowed {
 			return s.await(ticket, req, view)
 		}
-		req.further.needsRetry = false
+		req.retry, req.further.needsRetry = token, false
 	}
 	out.Emit(effect.CountRetry{Reason: req.further.reason})
 	return s.dispatch(ticket, req, view, out)
 }
 
 // await makes a request look for an upstream again after waitInterval, and end at its
-// deadline. It may get another attempt at upstreams that it was sent to before.
+// deadline. It may get another attempt at upstreams that it was sent to before. Meanwhile
+// it holds no retry that others could use.
 func (s State) await(ticket model.Ticket, req openRequest, view View) State {
 	req.tried = nil
+	if req.retry.Taken() {
+		s = s.withoutRetry(req.service.Name, req.retry)
+		req.retry, req.further.needsRetry = retry.Token{}, true
+	}
 	s.open = s.open.Set(ticket, req)
 	at := view.At.Add(waitInterval)
 	if req.deadline.Before(at) {
