Keep a slot for the run that follows a silent one

Several requests whose upstreams fell silent together were given up for the same free slot. All but one of their runs then found a full upstream, which rejects them.

Cause: pickIdle counted the running requests only, and the run that follows starts after the silent attempt has ended.

core/serve now counts the slots that it keeps, in pickIdle and in the load of the candidates of other requests. A slot is freed when the run starts, when the request waits or ends, and when the silent attempt goes on. It is not counted as use in core/fleet, where it would also count as a trial of an upstream that returns after a pause.

Before: TestSlotOfFollowingRun failed with 'the second run is given up: true, want false'. It passes, with the other tests of core/serve and TestFinalReply of core/edge at 500 checks.

--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -107,6 +107,7 @@
 			Service: req.service.Name, Prompt: load.Prompt, Output: float64(req.received.OutputTokens),
 		}})
 	}
+	s, req = s.withoutReservation(req)
 	req.sentAt, req.silence, req.settled = view.At, silence{}, false
 	if upstream, found := view.Fleet.Get(u.Name); found {
 		req.placed.ahead = upstream.PromptBacklog()
@@ -393,6 +394,7 @@
 // KV cache that is no longer needed.
 func (s State) remove(ticket model.Ticket, req openRequest, out *Out) State {
 	s = s.withoutRetry(req.service.Name, req.retry)
+	s, req = s.withoutReservation(req)
 	if req.kvHandle != "" {
 		out.Emit(effect.FreeHandle{Upstream: req.prefillEngine, Handle: req.kvHandle})
 	}
--- a/core/serve/place.go
+++ b/core/serve/place.go
@@ -82,6 +82,8 @@
 	zone  model.ZoneName
 	tried []model.UpstreamName
 	at    time.Time
+	// reserved is the number of its slots that are kept for runs of other requests.
+	reserved int
 	// peerPreferred is set if another node of the availability zone prefers this
 	// engine.
 	peerPreferred bool
@@ -189,7 +191,7 @@
 	if !c.Usable(c.at) || slices.Contains(c.tried, c.Name) {
 		return 0, false
 	}
-	load := float64(c.RunningRequests())/float64(max(1, c.Slots)) + c.FailurePenalty(c.at) + c.waitLoad()
+	load := float64(c.RunningRequests()+c.reserved)/float64(max(1, c.Slots)) + c.FailurePenalty(c.at) + c.waitLoad()
 	if c.Avoided(c.at) {
 		load += avoidedPenalty
 	}
@@ -228,6 +230,7 @@
 		if found && filter(u) {
 			all = append(all, candidate{
 				Upstream: u, zone: zone, tried: req.tried, at: view.At, tokenTime: view.Fleet.TokenTime(u),
+				reserved: view.reservedByOthers(u.Name, req),
 			})
 		}
 	}
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -59,6 +59,8 @@
 	// Initialized is set once the node has read all the state it needs to accept
 	// requests.
 	Initialized bool
+	// reserved is the number of slots that are kept for runs which follow silent ones.
+	reserved *immutable.SortedMap[model.UpstreamName, int]
 }
 
 // placement describes where an attempt at an engine was placed.
@@ -160,17 +162,21 @@
 	// waits are the requests that wait for an upstream that can start them.
 	waits   *immutable.SortedMap[wait, struct{}]
 	retries *immutable.SortedMap[model.ServiceName, retry.Budget]
+	// reserved is the number of slots at each upstream that are kept for runs which
+	// follow silent ones.
+	reserved *immutable.SortedMap[model.UpstreamName, int]
 }
 
 // New returns a state without open requests.
 func New(bounds model.Bounds) State {
 	return State{
-		bounds:  bounds,
-		open:    immutable.NewMap[model.Ticket, openRequest](ticketHasher{}),
-		crashes: crash.New(),
-		poison:  poison.New(),
-		waits:   immutable.NewSortedMap[wait, struct{}](waitComparer{}),
-		retries: immutable.NewSortedMap[model.ServiceName, retry.Budget](nil),
+		bounds:   bounds,
+		open:     immutable.NewMap[model.Ticket, openRequest](ticketHasher{}),
+		crashes:  crash.New(),
+		poison:   poison.New(),
+		waits:    immutable.NewSortedMap[wait, struct{}](waitComparer{}),
+		reserved: immutable.NewSortedMap[model.UpstreamName, int](nil),
+		retries:  immutable.NewSortedMap[model.ServiceName, retry.Budget](nil),
 	}
 }
 
@@ -178,6 +184,7 @@
 // their attempts, and the crash counts and suspicions of peers.
 func (s State) Apply(in step.Input[event.Event], view View) (State, Out) {
 	var out Out
+	view.reserved = s.reserved
 	s = s.withTime(in.At)
 	switch e := in.Event.(type) {
 	case event.SettingsChanged:
--- a/core/serve/silence.go
+++ b/core/serve/silence.go
@@ -21,6 +21,27 @@
 	next  model.Upstream
 }
 
+// withReserved returns the state with more or fewer slots kept at an upstream.
+func (s State) withReserved(name model.UpstreamName, change int) State {
+	kept, _ := s.reserved.Get(name)
+	if kept += change; kept > 0 {
+		s.reserved = s.reserved.Set(name, kept)
+	} else {
+		s.reserved = s.reserved.Delete(name)
+	}
+	return s
+}
+
+// reservedByOthers returns the number of slots at an upstream that are kept for runs of
+// other requests.
+func (v View) reservedByOthers(name model.UpstreamName, req openRequest) int {
+	kept, _ := v.reserved.Get(name)
+	if name == req.silence.next.Name {
+		kept--
+	}
+	return kept
+}
+
 // handleForwardSilent decides whether an attempt whose upstream is silent is given up
 // for another run. It goes on unless that run can start at once. Otherwise a retry
 // budget that is spent, or the lack of another upstream, would end the requests of all
@@ -33,6 +54,7 @@
 	req.silence.reports = e.Report
 	if e.Ignored >= req.silence.abandons {
 		s, req = s.withoutNext(req)
+		view.reserved = s.reserved
 	}
 	s.open = s.open.Set(e.Ticket, req)
 	if e.Ignored < req.silence.abandons || !s.mayAbandon(req, e, view) {
@@ -48,6 +70,7 @@
 	}
 	s.retries = s.retries.Set(req.service.Name, budget)
 	req.silence.retry, req.silence.next = token, next
+	s = s.withReserved(next.Name, 1)
 	req.silence.abandons++
 	s.open = s.open.Set(e.Ticket, req)
 	out.Emit(effect.AbandonAttempt{Ticket: e.Ticket, Attempt: e.Attempt, Report: e.Report, Next: next})
@@ -85,7 +108,16 @@
 // withoutNext cancels the run that was to follow the running attempt.
 func (s State) withoutNext(req openRequest) (State, openRequest) {
 	s = s.withoutRetry(req.service.Name, req.silence.retry)
-	req.silence.retry, req.silence.next = retry.Token{}, model.Upstream{}
+	req.silence.retry = retry.Token{}
+	return s.withoutReservation(req)
+}
+
+// withoutReservation frees the slot that is kept for the run after a silent one.
+func (s State) withoutReservation(req openRequest) (State, openRequest) {
+	if req.silence.next.Name != "" {
+		s = s.withReserved(req.silence.next.Name, -1)
+	}
+	req.silence.next = model.Upstream{}
 	return s, req
 }
 
@@ -106,7 +138,7 @@
 // not avoided and has a free slot.
 func pickIdle(req openRequest, view View) (model.Upstream, bool) {
 	u, found := pickUpstream(req, view)
-	return u.Upstream, found && !u.Avoided(view.At) && u.RunningRequests() < max(1, u.Slots)
+	return u.Upstream, found && !u.Avoided(view.At) && u.RunningRequests()+view.reservedByOthers(u.Name, req) < max(1, u.Slots)
 }
 
 // pickUpstream selects an upstream for a run of the request.
--- a/core/serve/wait.go
+++ b/core/serve/wait.go
@@ -72,6 +72,7 @@
 // it holds no retry that others could use.
 func (s State) await(ticket model.Ticket, req openRequest, view View) State {
 	req.tried = nil
+	s, req = s.withoutReservation(req)
 	if req.retry.Taken() {
 		s = s.withoutRetry(req.service.Name, req.retry)
 		req.retry, req.further.needsRetry = retry.Token{}, true
