Free the KV cache of a decode run that was given up

Engines that compute prompts kept the KV cache of a prompt until it expired, although the run that was to fetch it had been given up because its upstream was silent. The next run computes the prompt again, so the memory was used twice.

Cause: the handle was only forgotten, since it can be used only once.

effect.FreeHandle is now emitted when the run is given up, unless the engine that holds the cache is also the one that has got the run: it may be silent and go on. Ruled out: freeing after a run that broke by itself, where the engine may have taken the cache.

Before: TestHandleOfGivenUpRun failed with 'freed: false, want true'. It passes with the other tests of core/serve.

--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -276,8 +276,11 @@
 	if e.Outcome == model.Completed {
 		return s.finish(e.Ticket, req, out)
 	}
+	if e.Stalled {
+		req = req.freeHandle(out)
+		req.givenUp = true
+	}
 	req = req.withoutUpstream()
-	req.givenUp = req.givenUp || e.Stalled
 	if notRun {
 		req.rejections++
 		if req.rejections > maxRejections && !req.mayWait() {
--- a/core/serve/silence.go
+++ b/core/serve/silence.go
@@ -158,6 +158,16 @@
 	return view.Fleet.Get(picked.Name)
 }
 
+// freeHandle frees the KV cache of a run that was given up, unless its engine also got the
+// run: an engine that is silent may go on with what it was sent.
+func (req openRequest) freeHandle(out *Out) openRequest {
+	if req.kvHandle != "" && req.prefillEngine.Name != req.upstream.Name {
+		out.Emit(effect.FreeHandle{Upstream: req.prefillEngine, Handle: req.kvHandle})
+	}
+	req.kvHandle = ""
+	return req
+}
+
 // withoutUpstream returns the request after a run at its upstream, which gets no other
 // run of it. A KV handle can be used only once.
 func (req openRequest) withoutUpstream() openRequest {
--- a/core/serve/silence_test.go
+++ b/core/serve/silence_test.go
@@ -281,6 +281,58 @@
 	}
 }
 
+// TestHandleOfGivenUpRun guards against the KV cache of a prompt that stays in the memory of
+// its engine until it expires, although the run for which it was computed was given up, and
+// against one that is freed while the engine that holds it may still run the request.
+func TestHandleOfGivenUpRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		ended event.ForwardEnded
+		// sameEngine is set if the engine that holds the cache became the one of the run.
+		sameEngine, want bool
+	}{
+		"given up":                    {ended: event.ForwardEnded{Outcome: model.Broken, Stalled: true}, want: true},
+		"given up at the same engine": {ended: event.ForwardEnded{Outcome: model.Broken, Stalled: true}, sameEngine: true},
+		"completed":                   {ended: event.ForwardEnded{Outcome: model.Completed, Status: 200}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newEngineHarness()
+			h.apply(event.SiteArrived{Ticket: 1, Request: model.SiteRequest{
+				ID: "r", Host: "h", Path: "/twice/1", HasKey: true, KeyHash: key, PromptTokens: 9000, HasTokenCounts: true,
+				ArrivedAt: startTime, CallerDeadline: startTime.Add(time.Minute),
+			}})
+			holder := h.forward.Upstream
+			if c.sameEngine {
+				h.keepOnly(holder.Name, model.RoleDecode)
+			}
+			h.endAttempt(event.ForwardEnded{Outcome: model.Completed, Status: 200, Handle: "h1"})
+			if got := h.forward.Upstream.Name == holder.Name; got != c.sameEngine || h.forward.Source == "" {
+				t.Fatalf("run at the engine that holds the cache: %v, source %q", got, h.forward.Source)
+			}
+			h.endAttempt(c.ended)
+			freed := false
+			for _, f := range h.effects {
+				if free, ok := f.(effect.FreeHandle); ok {
+					freed = true
+					if free.Upstream.Name != holder.Name || free.Handle != "h1" {
+						t.Errorf("%+v, want the handle h1 of %q", free, holder.Name)
+					}
+				}
+			}
+			if freed != c.want {
+				t.Errorf("freed: %v, want %v", freed, c.want)
+			}
+		})
+	}
+}
+
+// keepOnly removes all engines but one from the registry, which gets a role.
+func (h *harness) keepOnly(name model.UpstreamName, role model.Role) {
+	u, _ := h.fleet.Get(name)
+	kept := u.Upstream
+	kept.Role = role
+	h.fleet, _ = h.fleet.Apply(h.in(event.UpstreamsRead{Revision: 9, Upstreams: []model.Upstream{kept}}))
+}
+
 // TestUpstreamLostAfterSilence guards against a run that is given up for another one that
 // does not start, because its upstream has left the registry by the end of the attempt.
 func TestUpstreamLostAfterSilence(t *testing.T) {
