--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -59,6 +59,8 @@
 	// Initialized is set once the node has read all the state it needs to accept
 	// requests.
 	Initialized bool
+	// reserved is the number of slots that are kept for runs which follow silent ones.
+	reserved *immutable.SortedMap[model.UpstreamName, int]
 }
 
 // placement describes where an attempt at an engine was placed.
@@ -132,7 +134,14 @@
 	measured bool
 	// retryCheck is set if the retry budget did not allow another attempt.
 	retryCheck model.RetryCheck
-	silence    silence
+	// retry is the retry that was counted for the running attempt, or for the one that
+	// is due. It is returned if no attempt reaches an upstream.
+	retry   retry.Token
+	silence silence
+	// givenUp is set once a run was given up because its upstream was silent, and
+	// further is the attempt that is due if none is running.
+	givenUp bool
+	further further
 	// begunAt is when the answer of the running attempt began, or zero, and pastStart
 	// is set once it has got past its start.
 	begunAt   time.Time
@@ -154,17 +163,24 @@
 	starts fifo[start]
 	// announceAt is when the peers have to be told of suspected parts, or zero.
 	announceAt time.Time
-	retries    *immutable.SortedMap[model.ServiceName, retry.Budget]
+	// waits are the requests that wait for an upstream that can start them.
+	waits   *immutable.SortedMap[wait, struct{}]
+	retries *immutable.SortedMap[model.ServiceName, retry.Budget]
+	// reserved is the number of slots at each upstream that are kept for runs which
+	// follow silent ones.
+	reserved *immutable.SortedMap[model.UpstreamName, int]
 }
 
 // New returns a state without open requests.
 func New(bounds model.Bounds) State {
 	return State{
-		bounds:  bounds,
-		open:    immutable.NewMap[model.Ticket, openRequest](ticketHasher{}),
-		crashes: crash.New(),
-		poison:  poison.New(),
-		retries: immutable.NewSortedMap[model.ServiceName, retry.Budget](nil),
+		bounds:   bounds,
+		open:     immutable.NewMap[model.Ticket, openRequest](ticketHasher{}),
+		crashes:  crash.New(),
+		poison:   poison.New(),
+		waits:    immutable.NewSortedMap[wait, struct{}](waitComparer{}),
+		reserved: immutable.NewSortedMap[model.UpstreamName, int](nil),
+		retries:  immutable.NewSortedMap[model.ServiceName, retry.Budget](nil),
 	}
 }
 
@@ -172,6 +188,7 @@
 // their attempts, and the crash counts and suspicions of peers.
 func (s State) Apply(in step.Input[event.Event], view View) (State, Out) {
 	var out Out
+	view.reserved = s.reserved
 	s = s.withTime(in.At)
 	switch e := in.Event.(type) {
 	case event.SettingsChanged:
@@ -188,6 +205,8 @@
 		s = s.handleForwardEnded(s.withExpectedEnd(e, view), view, &out)
 	case event.ForwardSilent:
 		s = s.handleForwardSilent(e, view, &out)
+	case event.AbandonIgnored:
+		s = s.handleAbandonIgnored(e)
 	case event.CallerGone:
 		s = s.handleCallerGone(e.Ticket, &out)
 	case event.SyncAnswered:
@@ -198,6 +217,7 @@
 		s = s.handleReport(e.Report, view)
 	case event.Tick:
 		s.poison = s.poison.WithTime(in.At)
+		s = s.endWaits(view, &out)
 	}
 	return s.withNews(in.At, &out), out
 }
@@ -259,6 +279,14 @@
 	})
 }
 
+// withoutRetry returns a retry that was not made to the budget of a service.
+func (s State) withoutRetry(service model.ServiceName, t retry.Token) State {
+	if b, found := s.retries.Get(service); found && t.Taken() {
+		s.retries = s.retries.Set(service, b.WithoutRetry(t))
+	}
+	return s
+}
+
 // budgetMargin keeps the retries of all nodes below the platform's limit, whose
 // window need not begin at a full second.
 const budgetMargin = 0.75
--- a/core/serve/silence_test.go
+++ b/core/serve/silence_test.go
@@ -151,7 +151,8 @@
 }
 
 // TestAnswerEndedBySilence guards, over random silences, retry budgets and fleets, against
-// an answer that ends because of silence before its deadline, and against a second run of
+// an answer that ends before its deadline because of silence, or because a run that follows
+// a given-up one does not start, and against a second run of
 // an answer that has begun at an upstream that is reachable.
 func TestAnswerEndedBySilence(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -170,6 +171,14 @@
 			default:
 				attempt, reachable := h.forward.Attempt, rapid.Bool().Draw(t, "reachable")
 				h.fallSilent(begun, reachable, lastEvent)
+				for h.forward != nil && h.forward.Attempt != attempt && rapid.Bool().Draw(t, "does not start") {
+					outcome := rapid.SampledFrom([]model.Outcome{model.Rejected, model.NotSent}).Draw(t, "outcome")
+					h.endAttempt(event.ForwardEnded{Outcome: outcome})
+					h.awaitAttempt()
+				}
+				if h.now >= time.Minute && len(h.replies) > 0 {
+					return
+				}
 				if len(h.replies) > 0 {
 					t.Fatalf("silence has ended the request: %+v", h.replies)
 				}
@@ -272,6 +281,58 @@
 	}
 }
 
+// TestHandleOfGivenUpRun guards against the KV cache of a prompt that stays in the memory of
+// its engine until it expires, although the run for which it was computed was given up, and
+// against one that is freed while the engine that holds it may still run the request.
+func TestHandleOfGivenUpRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		ended event.ForwardEnded
+		// sameEngine is set if the engine that holds the cache became the one of the run.
+		sameEngine, want bool
+	}{
+		"given up":                    {ended: event.ForwardEnded{Outcome: model.Broken, Stalled: true}, want: true},
+		"given up at the same engine": {ended: event.ForwardEnded{Outcome: model.Broken, Stalled: true}, sameEngine: true},
+		"completed":                   {ended: event.ForwardEnded{Outcome: model.Completed, Status: 200}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newEngineHarness()
+			h.apply(event.SiteArrived{Ticket: 1, Request: model.SiteRequest{
+				ID: "r", Host: "h", Path: "/twice/1", HasKey: true, KeyHash: key, PromptTokens: 9000, HasTokenCounts: true,
+				ArrivedAt: startTime, CallerDeadline: startTime.Add(time.Minute),
+			}})
+			holder := h.forward.Upstream
+			if c.sameEngine {
+				h.keepOnly(holder.Name, model.RoleDecode)
+			}
+			h.endAttempt(event.ForwardEnded{Outcome: model.Completed, Status: 200, Handle: "h1"})
+			if got := h.forward.Upstream.Name == holder.Name; got != c.sameEngine || h.forward.Source == "" {
+				t.Fatalf("run at the engine that holds the cache: %v, source %q", got, h.forward.Source)
+			}
+			h.endAttempt(c.ended)
+			freed := false
+			for _, f := range h.effects {
+				if free, ok := f.(effect.FreeHandle); ok {
+					freed = true
+					if free.Upstream.Name != holder.Name || free.Handle != "h1" {
+						t.Errorf("%+v, want the handle h1 of %q", free, holder.Name)
+					}
+				}
+			}
+			if freed != c.want {
+				t.Errorf("freed: %v, want %v", freed, c.want)
+			}
+		})
+	}
+}
+
+// keepOnly removes all engines but one from the registry, which gets a role.
+func (h *harness) keepOnly(name model.UpstreamName, role model.Role) {
+	u, _ := h.fleet.Get(name)
+	kept := u.Upstream
+	kept.Role = role
+	h.fleet, _ = h.fleet.Apply(h.in(event.UpstreamsRead{Revision: 9, Upstreams: []model.Upstream{kept}}))
+}
+
 // TestUpstreamLostAfterSilence guards against a run that is given up for another one that
 // does not start, because its upstream has left the registry by the end of the attempt.
 func TestUpstreamLostAfterSilence(t *testing.T) {
