Show what nodes believe and where requests wait: caroblane top

Operators had to read the logs of each node to learn which engines it avoids, what its requests wait for, or whether it is the relay of its cell; a node on a platform had no status besides its metrics.

core/edge and core/node decide what is shown as an immutable model.NodeView: freshness, lease, relay, open requests by what they wait for, upstreams with standing, backlog and estimated speed, and held parts of prompts. io/admin encodes it at GET /view, also on the second internal port of a platform. caroblane top reads it from all nodes, 32 at a time and with limits of time and size; a silent node is a row. A view has at most 64 upstreams and 32 held parts, because 330 nodes with 1,900 upstreams each would send too much. The body of a view is read up to 256 KiB; 32 bodies of the usual limit of 64 MiB could have filled the memory.

admin.New takes the function that returns the view; its four calls in tests pass nil and the fake node of io/cmds passes a view.

Measured: TestTopOfManyNodes shows 330 nodes, a third of which send too much, in 2.0 s with lines of at most 80 characters. TestTopRepeats, TestScripts/top, TestView of io/admin, core/fleet and platform, TestHeld and TestRequests pass, as do io/cmds, io/entry, core/node, core/serve, core/poison and io/admin. In the whole run of platform, TestEventNotQueued failed; it fails with -count 30 without this change too.

--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -44,10 +44,11 @@
 	loopStopped <-chan struct{}
 }
 
-// New returns a handler. The function status returns the current status. The
+// New returns a handler. The functions status and view return the current status and
+// view; without view, there is none. The
 // channel loopStopped is closed when the control loop has stopped, which makes
 // the node unhealthy.
-func New(status func() Status, commands Commands, metrics http.Handler, loopStopped <-chan struct{}) *Handler {
+func New(status func() Status, view func() model.NodeView, commands Commands, metrics http.Handler, loopStopped <-chan struct{}) *Handler {
 	h := &Handler{mux: http.NewServeMux(), status: status, commands: commands, loopStopped: loopStopped}
 	h.mux.HandleFunc("GET /healthz", h.serveHealth)
 	h.mux.HandleFunc("GET /readyz", h.serveReady)
@@ -55,6 +56,9 @@
 	h.mux.HandleFunc("POST /drain", h.serveDrain)
 	h.mux.HandleFunc("POST /forget", h.serveForget)
 	h.mux.Handle("GET /metrics", metrics)
+	if view != nil {
+		h.mux.Handle("GET "+PathView, NewViewHandler(view))
+	}
 	return h
 }
 
--- a/io/admin/admin_test.go
+++ b/io/admin/admin_test.go
@@ -62,7 +62,7 @@
 			if test.stopped != nil {
 				ended = test.stopped
 			}
-			handler := admin.New(func() admin.Status { return test.status }, admin.Commands{
+			handler := admin.New(func() admin.Status { return test.status }, nil, admin.Commands{
 				Drain:  func(context.Context) error { return post("drain") },
 				Forget: func(_ context.Context, n model.NodeName) error { return post("forget " + string(n)) },
 			}, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("metrics here")) }), ended)
@@ -79,7 +79,7 @@
 // TestMissingCommands guards against a panic on a node that does not provide a
 // command, whose function is then nil.
 func TestMissingCommands(t *testing.T) {
-	handler := admin.New(func() admin.Status { return admin.Status{} }, admin.Commands{}, http.NotFoundHandler(), nil)
+	handler := admin.New(func() admin.Status { return admin.Status{} }, nil, admin.Commands{}, http.NotFoundHandler(), nil)
 	for _, path := range []string{"/drain", "/forget?node=b"} {
 		got := httptest.NewRecorder()
 		handler.ServeHTTP(got, httptest.NewRequest(http.MethodPost, path, nil))
@@ -92,7 +92,7 @@
 // TestCrossOriginRequest guards against a web page that drains a node: it can
 // make the browser of an operator send the request.
 func TestCrossOriginRequest(t *testing.T) {
-	handler := admin.New(func() admin.Status { return admin.Status{} }, admin.Commands{
+	handler := admin.New(func() admin.Status { return admin.Status{} }, nil, admin.Commands{
 		Drain: func(context.Context) error { t.Error("drained"); return nil },
 	}, http.NotFoundHandler(), nil)
 	request := httptest.NewRequest(http.MethodPost, "/drain", nil)
@@ -116,7 +116,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	handler := admin.New(func() admin.Status { return want }, admin.Commands{}, http.NotFoundHandler(), nil)
+	handler := admin.New(func() admin.Status { return want }, nil, admin.Commands{}, http.NotFoundHandler(), nil)
 	go func() { ended <- admin.Serve(ctx, listener, handler) }()
 	response, err := http.Get("http://" + listener.Addr().String() + "/status")
 	if err != nil {
--- a/io/cmds/cmds_test.go
+++ b/io/cmds/cmds_test.go
@@ -66,7 +66,8 @@
 		}
 		return s
 	}
-	e.Server = httptest.NewServer(admin.New(status, admin.Commands{
+	view := func() model.NodeView { return newView(name) }
+	e.Server = httptest.NewServer(admin.New(status, view, admin.Commands{
 		Drain:  func(context.Context) error { e.draining.Store(true); return nil },
 		Forget: func(_ context.Context, n model.NodeName) error { e.forgotten.Store(string(n)); return nil },
 	}, http.NotFoundHandler(), nil))
--- a/io/cmds/nodes.go
+++ b/io/cmds/nodes.go
@@ -136,11 +136,16 @@
 
 // callAdmin sends a request to the admin listener of a node.
 func (r *runner) callAdmin(ctx context.Context, n node, method, path string) ([]byte, error) {
+	return r.callAdminUpTo(ctx, n, method, path, maxResponseBytes)
+}
+
+// callAdminUpTo is callAdmin for a response of which at most maxBytes are read.
+func (r *runner) callAdminUpTo(ctx context.Context, n node, method, path string, maxBytes int64) ([]byte, error) {
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+n.admin.String()+path, http.NoBody)
 	if err != nil {
 		return nil, Unreachable.New("node %s has an invalid address %q", n.Name, n.Address)
 	}
-	status, data, err := doRequest(r.client, request)
+	status, data, err := doRequest(r.client, request, maxBytes)
 	if err != nil {
 		return nil, Unreachable.Wrap(err, "node %s does not respond at %s", n.Name, n.admin)
 	}
--- a/io/cmds/platform.go
+++ b/io/cmds/platform.go
@@ -162,7 +162,7 @@
 		request.Header[name] = values
 	}
 	request.Header.Set("X-Client", "caroblane")
-	status, data, err := doRequest(p.client, request)
+	status, data, err := doRequest(p.client, request, maxResponseBytes)
 	if err != nil {
 		return Unreachable.Wrap(err, "platform does not respond")
 	}
@@ -187,7 +187,7 @@
 }
 
 // doRequest sends a request and reads the whole response body.
-func doRequest(client *http.Client, request *http.Request) (int, []byte, error) {
+func doRequest(client *http.Client, request *http.Request, maxBytes int64) (int, []byte, error) {
 	response, err := client.Do(request)
 	if err != nil {
 		var wrapped *url.Error
@@ -197,7 +197,7 @@
 		return 0, nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxBytes))
 	return response.StatusCode, data, err
 }
 
--- a/io/cmds/run.go
+++ b/io/cmds/run.go
@@ -30,6 +30,8 @@
 	Wait func(context.Context, time.Duration) error
 	// Terminal reports whether Err is a terminal, on which progress is redrawn.
 	Terminal bool
+	// Screen reports whether Out is a terminal, on which views are redrawn.
+	Screen bool
 	// Dev runs an installation on loopback. With once it returns after two
 	// requests have ended, otherwise when the context ends.
 	Dev func(ctx context.Context, once bool, log zerolog.Logger, out io.Writer) error
@@ -37,13 +39,17 @@
 
 // System returns the environment of this process. Dev is not set.
 func System() Env {
-	info, err := os.Stderr.Stat()
 	return Env{
 		In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Random: rand.Reader, Now: time.Now, Wait: sleep,
-		Terminal: err == nil && info.Mode()&os.ModeCharDevice != 0,
+		Terminal: isTerminal(os.Stderr), Screen: isTerminal(os.Stdout),
 	}
 }
 
+func isTerminal(file *os.File) bool {
+	info, err := file.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
+
 // Run runs the command line and returns the exit code.
 func Run(ctx context.Context, args []string, env Env) int {
 	r := &runner{env: env, client: &http.Client{Timeout: requestTimeout}}
@@ -109,7 +115,7 @@
 		Commands: []*cli.Command{
 			r.templateCommand(), r.keyCommand(), r.upstreamCommand(), r.nodeCommand(),
 			r.routeCommand(), r.modelCommand(), r.configCommand(), r.usageCommand(),
-			r.devCommand(), r.explainCommand(),
+			r.devCommand(), r.explainCommand(), r.topCommand(),
 		},
 		Writer:                r.env.Out,
 		ErrWriter:             r.env.Err,
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -318,7 +318,7 @@
 			return n.loop.Post(ctx, event.ForgetAsked{Name: name})
 		},
 	}
-	return admin.New(n.status, commands, n.metrics.Handler(), n.loop.Done())
+	return admin.New(n.status, n.view, commands, n.metrics.Handler(), n.loop.Done())
 }
 
 func (n *Node) status() admin.Status {
@@ -346,6 +346,15 @@
 	}
 }
 
+// view returns what the node shows its operators.
+func (n *Node) view() model.NodeView {
+	view := n.loop.Snapshot().View(n.clock.Now()).WithQueuedEvents(n.loop.Queued())
+	view.Node, view.Zone, view.Incarnation = n.settings.Node.Name, n.settings.Node.Zone, n.incarnation
+	view.Draining = view.Draining || n.leaving.Load()
+	view.Ready = view.Ready && !view.Draining
+	return view
+}
+
 func (n *Node) readMetrics() meter.GaugeValues {
 	state := n.loop.Snapshot()
 	return meter.GaugeValues{
