Bound the memory of caroblane explain over the logs of many nodes

The logs of hundreds of nodes were kept together: up to 131,072 lines about upstreams of each log, whatever their length, until all had been read. Beyond that number, each line also moved all lines that were kept.

The lines about upstreams matter only for the log in which the request began, so those of other logs are dropped at their end. Both lists have a limit of lines and bytes, and drop their oldest entries in constant time on average. Reading the logs twice was ruled out, because standard input can be read only once.

--- a/io/cmds/explain.go
+++ b/io/cmds/explain.go
@@ -20,18 +20,43 @@
 	// upstreams are shown, such as a late registration or a suspected failure.
 	lookback        = 10 * time.Second
 	maxLogLineBytes = 1 << 20
-	// maxUpstreamLines limits the number of lines about upstreams that are kept in
-	// memory. The oldest ones are dropped first.
+	// maxUpstreamLines and maxUpstreamBytes limit the lines about upstreams of one log
+	// that are kept in memory, and maxRequestLines and maxRequestBytes those of the request
+	// of all logs. The oldest ones are dropped first.
 	maxUpstreamLines = 1 << 17
+	maxUpstreamBytes = 64 << 20
+	maxRequestLines  = 1 << 14
+	maxRequestBytes  = 16 << 20
 )
 
 // logEntry is a log line with its source: the file name, followed by the line's
 // prefix if a log collector merged the logs of several nodes.
 type logEntry struct {
 	source string
+	// size is the length of the line in bytes.
+	size int
 	logs.Line
 }
 
+// recentEntries are the last entries of a log, up to a number and a size.
+type recentEntries struct {
+	maxLines, maxBytes int
+	// entries begins at first; what is before has been dropped.
+	entries []logEntry
+	first   int
+	bytes   int
+}
+
+// explainLogs is what is kept of the logs that have been read.
+type explainLogs struct {
+	// request has the lines of the request.
+	request recentEntries
+	// earliest is the first line of the request, and upstreams are the lines about
+	// upstreams of its log.
+	earliest  logEntry
+	upstreams []logEntry
+}
+
 // requestTrace holds the log lines that belong to a request.
 type requestTrace struct {
 	request string
@@ -55,35 +80,34 @@
 	})
 }
 
-// explain reads logs and returns the trace of a request.
+// explain reads logs, one after the other, and returns the trace of a request. Of the
+// lines about upstreams, it keeps only those of the log in which the request began.
 func (r *runner) explain(request string, files []string) (requestTrace, error) {
-	var all []logEntry
+	found := explainLogs{request: recentEntries{maxLines: maxRequestLines, maxBytes: maxRequestBytes}}
 	if len(files) == 0 {
-		entries, err := readLog("-", r.env.In, request)
-		if err != nil {
+		if err := found.read("-", r.env.In, request); err != nil {
 			return requestTrace{}, err
 		}
-		all = entries
 	}
 	for _, name := range files {
 		file, err := os.Open(name)
 		if err != nil {
 			return requestTrace{}, Usage.New("log %s cannot be read: %v", name, err)
 		}
-		entries, err := readLog(name, file, request)
+		err = found.read(name, file, request)
 		_ = file.Close()
 		if err != nil {
 			return requestTrace{}, err
 		}
-		all = append(all, entries...)
 	}
-	return newRequestTrace(request, all)
+	return newRequestTrace(request, append(found.request.all(), found.upstreams...))
 }
 
-// readLog returns the lines of a log that concern the request or any upstream.
-func readLog(name string, in io.Reader, request string) ([]logEntry, error) {
-	var kept []logEntry
-	lines, upstreamLines := 0, 0
+// read adds the lines of a log that concern the request. If the request began in it, the
+// lines about upstreams replace those of another log.
+func (f *explainLogs) read(name string, in io.Reader, request string) error {
+	upstreams := recentEntries{maxLines: maxUpstreamLines, maxBytes: maxUpstreamBytes}
+	lines, began := 0, false
 	scanner := bufio.NewScanner(in)
 	scanner.Buffer(nil, maxLogLineBytes)
 	for scanner.Scan() {
@@ -96,28 +120,48 @@
 		if prefix := strings.Fields(line.Prefix); len(prefix) > 0 {
 			source += " " + prefix[len(prefix)-1]
 		}
+		entry := logEntry{source, len(scanner.Bytes()), line}
 		switch of := line.Get("Request"); {
 		case of == request:
-			kept = append(kept, logEntry{source, line})
+			f.request.add(entry)
+			if f.earliest.source == "" || entry.At.Before(f.earliest.At) {
+				f.earliest, began = entry, true
+			}
 		case of == "" && upstreamOf(line) != "":
-			upstreamLines++
-			kept = append(kept, logEntry{source, line})
-		}
-		if upstreamLines > maxUpstreamLines {
-			oldest := slices.IndexFunc(kept, func(e logEntry) bool { return e.Get("Request") == "" })
-			kept = slices.Delete(kept, oldest, oldest+1)
-			upstreamLines--
+			upstreams.add(entry)
 		}
 	}
 	if err := scanner.Err(); err != nil {
-		return nil, Usage.New("log %s cannot be read: %v", name, err)
+		return Usage.New("log %s cannot be read: %v", name, err)
 	}
 	if lines == 0 {
-		return nil, Usage.New("log %s contains no lines of an entry node", name)
+		return Usage.New("log %s contains no lines of an entry node", name)
+	}
+	if began {
+		f.upstreams = upstreams.all()
 	}
-	return kept, nil
+	return nil
 }
 
+// add adds an entry and drops the oldest ones beyond the limits.
+func (r *recentEntries) add(e logEntry) {
+	r.entries = append(r.entries, e)
+	r.bytes += e.size
+	for len(r.entries)-r.first > r.maxLines || r.bytes > r.maxBytes && len(r.entries)-r.first > 1 {
+		r.bytes -= r.entries[r.first].size
+		r.entries[r.first] = logEntry{}
+		r.first++
+	}
+	// Half of the list is free then, so that an addition takes constant time on average.
+	if r.first > len(r.entries)/2 {
+		r.entries = append([]logEntry(nil), r.entries[r.first:]...)
+		r.first = 0
+	}
+}
+
+// all returns the entries that are left.
+func (r *recentEntries) all() []logEntry { return r.entries[r.first:] }
+
 // upstreamOf returns the name of the upstream that a line concerns.
 func upstreamOf(line logs.Line) string {
 	if name := line.Get("Upstream"); name != "" {
