Follow the relay only while the store answers it

Two nodes of a cell sent prefill steps to upstreams 3.4 and 3.9 s after the store had acknowledged that these leave (3 s are allowed).

Cause: the store turned the relay of the cell away (429) from 32.5 to 40.5 s. The relays of other cells proved to it, and so to its cell, that the configuration was current. The members took that proof for one of the list of upstreams too, which nobody proved, and none of them read the store, although it answered them.

Ruled out: a late watch (the other cells had the change after 0.14 s), a stale report that undoes the change (no node of the cell ever logged it).

Change: a node that follows a relay takes a report for a proof that it need not read only from its relay, and only while that says that the store answered it recently. Requests are admitted by the same proofs of the configuration as before. In feed_test.go the reports of the relay now say that it is in contact, as relays do.

Measured: core/feed TestRelayOutOfContact fails before ("relay out of contact: reads the store: false, want true") and passes; core/edge, site, member and platform pass. What remains: a relay counts as in contact for 2.5 s after its last answer, so a cell may follow it for up to 4 s.

--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// patience is the age of the latest proof from a peer from which on a node reads
+	// patience is the age of the latest proof from the relay from which on a node reads
 	// the store itself. It is rankDelay longer for each node of the cell that sorts
 	// before, up to maxRank of them, so that not all nodes begin at once.
 	patience  = 1500 * time.Millisecond
@@ -58,7 +58,7 @@
 	startAt time.Time
 	// reading is set while this node reads the store.
 	reading bool
-	// provenAt is when a peer's configuration was last known to be current.
+	// provenAt is when what the relay has was last known to be current.
 	provenAt time.Time
 	proven   bool
 	// upstreams is the list of upstreams that was last fetched from a peer.
@@ -105,8 +105,8 @@
 // Reading reports whether this node reads the store.
 func (s State) Reading() bool { return s.reading }
 
-// dueAt returns when this node reads the store unless a peer proves earlier that its
-// configuration is current.
+// dueAt returns when this node reads the store unless the relay proves earlier that what
+// it has is current.
 func (s State) dueAt() time.Time {
 	delay := time.Duration(min(s.view.Rank, maxRank)) * rankDelay
 	if !s.proven {
@@ -129,15 +129,22 @@
 	return s
 }
 
-// handleReport notes the proof in the answer of a peer. The peer knew no later version
-// when this node sent its call, less the age that the peer states.
+// handleReport notes the proof in the answer of the relay. It knew no later version when
+// this node sent its call, less the age that it states.
 func (s State) handleReport(r model.Report, sentAt, at time.Time, out *Out) State {
-	if provenAt := sentAt.Add(-r.ConfirmationAge); r.Confirmed && (!s.proven || provenAt.After(s.provenAt)) {
+	if provenAt := sentAt.Add(-r.ConfirmationAge); s.isProof(r) && (!s.proven || provenAt.After(s.provenAt)) {
 		s.provenAt, s.proven = provenAt, true
 	}
 	return s.fetchNews(r, at, out)
 }
 
+// isProof reports whether a report proves that this node need not read the store. The
+// proof covers the list of upstreams too, so it comes from the relay, and only while the
+// store answers the relay itself: other cells prove the configuration alone.
+func (s State) isProof(r model.Report) bool {
+	return r.Confirmed && r.InContact && r.Member.Name == s.view.Relay
+}
+
 // fetchNews fetches what a peer has and this node has not: a later configuration, or
 // another list of upstreams at the relay.
 func (s State) fetchNews(r model.Report, at time.Time, out *Out) State {
--- a/core/feed/feed_test.go
+++ b/core/feed/feed_test.go
@@ -23,7 +23,7 @@
 // proof is the answer of the relay to a call that was sent at a time.
 func proof(sentAt, age time.Duration, site model.Version, registry uint64) event.SyncAnswered {
 	return event.SyncAnswered{SentAt: start.Add(sentAt), Report: model.Report{
-		Member: model.Member{Name: "relay", Incarnation: 9}, Confirmed: true, ConfirmationAge: age, Site: site, Registry: registry,
+		Member: model.Member{Name: "relay", Incarnation: 9}, Confirmed: true, ConfirmationAge: age, Site: site, Registry: registry, InContact: true,
 	}}
 }
 
@@ -68,6 +68,30 @@
 	}
 }
 
+// TestRelayOutOfContact guards against nodes that follow a relay which the store turns
+// away, so that none of the cell learns that an upstream leaves, while other cells prove
+// that the configuration is current.
+func TestRelayOutOfContact(t *testing.T) {
+	without, other := proof(2*time.Second, 0, 7, 1), proof(2*time.Second, 0, 7, 1)
+	without.Report.InContact = false
+	other.Report.Member.Name = "other"
+	for name, c := range map[string]struct {
+		report  event.SyncAnswered
+		reading bool
+	}{
+		"relay in contact":     {proof(2*time.Second, 0, 7, 1), false},
+		"relay out of contact": {without, true},
+		"another node":         {other, true},
+	} {
+		s, _ := apply(feed.New(start), 0, proof(0, 0, 7, 1), follower)
+		s, _ = apply(s, 2*time.Second, c.report, follower)
+		s, _ = apply(s, 2100*time.Millisecond, event.Tick{}, follower)
+		if s.Reading() != c.reading {
+			t.Errorf("%s: reads the store: %v, want %v", name, s.Reading(), c.reading)
+		}
+	}
+}
+
 // TestNextRead guards against a node without a proof that sleeps on.
 func TestNextRead(t *testing.T) {
 	s, _ := apply(feed.New(start), time.Second, proof(time.Second, 0, 7, 0), follower)
