Name what a request that waits does next, and when trials do not count

A newcomer could not tell what goOn and further mean, and trialsBefore no longer holds only what its comment said. goOn is startOrWait, the type further is dueAttempt, and the comment names trials without a result. No behaviour changes: core/serve and core/poison pass unchanged.

--- a/core/poison/suspect.go
+++ b/core/poison/suspect.go
@@ -49,7 +49,8 @@
 	// soundBefore is set if the part was answered soundly shortly before it was held.
 	soundBefore bool
 	// trials is the number of trials that any node made, and trialsBefore how many of
-	// them were made before the part was last cleared.
+	// them do not count for the next wait: those made before the part was last cleared,
+	// and those of this node without a result.
 	trials, trialsBefore int
 	// voidTrials is the number of trials without a result since the part was last cleared.
 	voidTrials int
--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -307,8 +307,8 @@
 // the budget, and for the run after a given-up one it has been asked already.
 func (s State) retryElsewhere(e event.ForwardEnded, req openRequest, view View, out *Out) State {
 	if req.mayWait() && !e.Stalled {
-		req.further = further{reason: retryReason(e, req), needsRetry: e.Outcome != model.NotSent && !req.retry.Taken()}
-		return s.goOn(e.Ticket, req, view, out)
+		req.due = dueAttempt{reason: retryReason(e, req), needsRetry: e.Outcome != model.NotSent && !req.retry.Taken()}
+		return s.startOrWait(e.Ticket, req, view, out)
 	}
 	if e.Outcome != model.NotSent && !req.retry.Taken() {
 		budget, token, ok := s.budget(req.service.Name, view).WithRetry(view.At)
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -139,9 +139,9 @@
 	retry   retry.Token
 	silence silence
 	// givenUp is set once a run was given up because its upstream was silent, and
-	// further is the attempt that is due if none is running.
+	// due is the attempt to make next if none is running.
 	givenUp bool
-	further further
+	due     dueAttempt
 	// begunAt is when the answer of the running attempt began, or zero, and pastStart
 	// is set once it has got past its start.
 	begunAt   time.Time
--- a/core/serve/wait.go
+++ b/core/serve/wait.go
@@ -26,8 +26,8 @@
 	return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.ticket, b.ticket), cmp.Compare(a.attempt, b.attempt))
 }
 
-// further describes the attempt that is due for a request of which a run was given up.
-type further struct {
+// dueAttempt describes the attempt that is due for a request of which a run was given up.
+type dueAttempt struct {
 	reason model.RetryReason
 	// needsRetry is set if the retry budget has yet to allow the attempt.
 	needsRetry bool
@@ -46,24 +46,24 @@
 	return found && !u.Avoided(view.At)
 }
 
-// goOn sends a request that may wait to an upstream that can start it, within the retry
+// startOrWait sends a request that may wait to an upstream that can start it, within the retry
 // budget. If none can, or the budget is spent, the request waits.
-func (s State) goOn(ticket model.Ticket, req openRequest, view View, out *Out) State {
+func (s State) startOrWait(ticket model.Ticket, req openRequest, view View, out *Out) State {
 	if !view.At.Before(req.deadline) {
 		return s.failExpired(ticket, req, out)
 	}
 	if !canStart(req, view) {
 		return s.await(ticket, req, view)
 	}
-	if req.further.needsRetry {
+	if req.due.needsRetry {
 		budget, token, allowed := s.budget(req.service.Name, view).WithRetry(view.At)
 		s.retries = s.retries.Set(req.service.Name, budget)
 		if !allowed {
 			return s.await(ticket, req, view)
 		}
-		req.retry, req.further.needsRetry = token, false
+		req.retry, req.due.needsRetry = token, false
 	}
-	out.Emit(effect.CountRetry{Reason: req.further.reason})
+	out.Emit(effect.CountRetry{Reason: req.due.reason})
 	return s.dispatch(ticket, req, view, out)
 }
 
@@ -75,7 +75,7 @@
 	s, req = s.withoutReservation(req)
 	if req.retry.Taken() {
 		s = s.withoutRetry(req.service.Name, req.retry)
-		req.retry, req.further.needsRetry = retry.Token{}, true
+		req.retry, req.due.needsRetry = retry.Token{}, true
 	}
 	s.open = s.open.Set(ticket, req)
 	at := view.At.Add(waitInterval)
@@ -105,7 +105,7 @@
 		}
 		s.waits = s.waits.Delete(first)
 		if req, found := s.open.Get(first.ticket); found && !req.running && req.attempt == first.attempt {
-			s = s.goOn(first.ticket, req, view, out)
+			s = s.startOrWait(first.ticket, req, view, out)
 		}
 	}
 }
