--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -410,3 +410,36 @@
 type roundTrip func(*http.Request) (*http.Response, error)
 
 func (r roundTrip) RoundTrip(request *http.Request) (*http.Response, error) { return r(request) }
+
+// TestPeerAnswerAge guards against answers of peers that pass for younger than their call,
+// so that a configuration from which a key was withdrawn meanwhile counts as proved.
+func TestPeerAnswerAge(t *testing.T) {
+	var client *Client
+	arrivals := make(chan time.Time, 4)
+	peer, _ := newPeer(t, func(e event.Event) effect.Reply {
+		arrivals <- client.options.Now()
+		switch e := e.(type) {
+		case event.SyncArrived:
+			return effect.SyncReply{Ticket: e.Ticket}
+		case event.FeedAsked:
+			return effect.FeedReply{Ticket: e.Ticket}
+		}
+		return nil
+	})
+	client, posted := newClient(t, http.DefaultTransport, peer.member)
+	for _, call := range []effect.Effect{effect.SyncPeer{Peer: peer.member}, effect.FetchFeed{Peer: peer.member}} {
+		client.Execute(t.Context(), call)
+		var sentAt time.Time
+		switch e := (<-posted).(type) {
+		case event.SyncAnswered:
+			sentAt = e.SentAt
+		case event.FeedAnswered:
+			sentAt = e.SentAt
+		default:
+			t.Fatalf("%T: posted %#v", call, e)
+		}
+		if arrivedAt := <-arrivals; !sentAt.Before(arrivedAt) {
+			t.Errorf("%T: counts from %v after the call arrived at the peer", call, sentAt.Sub(arrivedAt))
+		}
+	}
+}
