Check the key of a request also on a route that requires none

Cause: a route that requires no key ended the check of keys, and a node that is not fresh looked none up.

A key that a request has must now be valid: 401 if it is unknown, 503 NotFresh if the node cannot know. Requests without a key run on public routes as before, also at a node that is not fresh.

TestAdmission said that an unknown key runs on a public route. It fails before in two cases (public route with unknown key; stale, public route with key) and passes after.

--- a/core/serve/admit.go
+++ b/core/serve/admit.go
@@ -41,7 +41,8 @@
 
 // lookup resolves the route, service and client account of a request, or
 // returns the reason to decline it. A node whose configuration may be out of
-// date reports NotFresh instead of an unknown route or key.
+// date reports NotFresh instead of an unknown route or key. A key that a request
+// has must be valid, also on a route that requires none.
 func (s State) lookup(request *model.SiteRequest, view View) (openRequest, model.Reason, bool) {
 	config, fresh := view.Site.Site(), view.Site.Fresh(view.At)
 	if !view.Initialized {
@@ -69,15 +70,15 @@
 	req.skipPrefill = !req.service.Engine
 	account, known := config.Keys[request.KeyHash]
 	switch {
-	case request.HasKey && known && fresh:
-		req.account = config.Accounts[account]
-	case route.Public:
+	case !request.HasKey && route.Public:
 	case !fresh:
 		return openRequest{}, model.NotFresh, false
 	case !request.HasKey:
 		return openRequest{}, model.MissingKey, false
-	default:
+	case !known:
 		return openRequest{}, model.KeyUnknown, false
+	default:
+		req.account = config.Accounts[account]
 	}
 	return req, 0, true
 }
--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -130,9 +130,9 @@
 	return d, ok
 }
 
-// TestAdmission guards against running a request without a key or a route, and
-// against a node with stale or missing configuration that reports a key or a
-// route as unknown.
+// TestAdmission guards against running a request without a key or a route, with a key
+// that was withdrawn, also on a route that requires none, and against a node with stale
+// or missing configuration that reports a key or a route as unknown.
 func TestAdmission(t *testing.T) {
 	for name, c := range map[string]struct {
 		path      string
@@ -140,15 +140,19 @@
 		after     time.Duration
 		want      model.Reason
 		forwarded bool
+		account   model.AccountName
 	}{
-		"proper":                        {path: "/read/1", key: key, forwarded: true},
+		"proper":                        {path: "/read/1", key: key, forwarded: true, account: "x"},
 		"no key":                        {path: "/read/1", want: model.MissingKey},
 		"unknown key":                   {path: "/read/1", key: model.KeyHash{2}, want: model.KeyUnknown},
 		"unknown route":                 {path: "/none/1", key: key, want: model.UnknownRoute},
 		"public route without key":      {path: "/open/1", forwarded: true},
-		"public route with unknown key": {path: "/open/1", key: model.KeyHash{2}, forwarded: true},
+		"public route with key":         {path: "/open/1", key: key, forwarded: true, account: "x"},
+		"public route with unknown key": {path: "/open/1", key: model.KeyHash{2}, want: model.KeyUnknown},
 		"stale":                         {path: "/read/1", key: key, after: 6 * time.Second, want: model.NotFresh},
 		"stale, unknown key":            {path: "/read/1", key: model.KeyHash{2}, after: 6 * time.Second, want: model.NotFresh},
+		"stale, public route":           {path: "/open/1", after: 6 * time.Second, forwarded: true},
+		"stale, public route with key":  {path: "/open/1", key: key, after: 6 * time.Second, want: model.NotFresh},
 		"stale, unknown route":          {path: "/none/1", key: key, after: 6 * time.Second, want: model.NotFresh},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -161,8 +165,8 @@
 			if d, _ := h.lastDecline(); !c.forwarded && (d.Reason != c.want || d.Execution != model.NotRun) {
 				t.Errorf("declined with reason %v, execution %v; want %v, NotRun", d.Reason, d.Execution, c.want)
 			}
-			if c.forwarded && c.path == "/open/1" && h.forward.Account != "" {
-				t.Errorf("request without a valid key runs for account %q", h.forward.Account)
+			if c.forwarded && h.forward.Account != c.account {
+				t.Errorf("runs for account %q, want %q", h.forward.Account, c.account)
 			}
 		})
 	}
