Read the configuration again if a call gets no answer in time

A node reads every 1.2 s, gave the call 1 s and waited 0.15 s: 2.35 s by arithmetic, against the 2 s of the operators.

Cause: the timeout of the call was not derived from the bound, which has to hold the time between reads and a lost call.

The feed now gives a patience with the time between reads, 0.15 of the bound (0.3 s).

--- a/core/effect/feed.go
+++ b/core/effect/feed.go
@@ -28,6 +28,9 @@
 	On bool
 	// Interval is the time between two reads of the configuration.
 	Interval time.Duration
+	// Patience is how long a read may wait for its answer before it is made again, while
+	// the first call goes on. Zero means that it is not.
+	Patience time.Duration
 }
 
 func (e FeedReply) To() model.Ticket { return e.Ticket }
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -23,6 +23,9 @@
 	// exchange only, as fractions of the time in which a change has to be in force.
 	readRatio     = 0.6
 	cellReadRatio = 0.45
+	// repeatRatio is the time without an answer after which a read is made again, as such a
+	// fraction, so that a change is in force in time although one call was lost.
+	repeatRatio = 0.15
 	// patienceRatio is the age of the latest proof from the relay from which on the first
 	// node of a cell reads the store itself, as such a fraction. Nodes that sort later
 	// begin later, so that not all do at once, but the last one readTime before the change
@@ -168,7 +171,7 @@
 	interval := s.readInterval()
 	if reading != s.reading || reading && interval != s.interval {
 		s.reading, s.interval = reading, interval
-		out.Emit(effect.FollowStore{On: reading, Interval: interval})
+		out.Emit(effect.FollowStore{On: reading, Interval: interval, Patience: scale(s.applyWithin(), repeatRatio)})
 	}
 	return s
 }
--- a/core/feed/feed_test.go
+++ b/core/feed/feed_test.go
@@ -178,3 +178,27 @@
 		t.Errorf("does not read the store %v after the last proof of its own version", applyWithin)
 	}
 }
+
+// TestLostRead guards against a change of the configuration that comes late because one
+// call for it was lost.
+func TestLostRead(t *testing.T) {
+	// exchange is the time until the members of a cell hear of a change from their relay,
+	// and readTime what the second call takes.
+	const exchange, readTime = 500 * time.Millisecond, 100 * time.Millisecond
+	for name, c := range map[string]struct {
+		forCell bool
+		rest    time.Duration
+	}{
+		"node":  {false, readTime},
+		"relay": {true, readTime + exchange},
+	} {
+		_, out := apply(feed.New(start), 0, event.Tick{}, feed.View{Direct: true, Known: true, ForCell: c.forCell, ApplyWithin: applyWithin})
+		follow, ok := out.Effects[0].(effect.FollowStore)
+		if !ok || !follow.On || follow.Patience <= 0 {
+			t.Fatalf("%s: effect %+v, want reads with a patience", name, out.Effects[0])
+		}
+		if total := follow.Interval + follow.Patience + c.rest; total > applyWithin {
+			t.Errorf("%s: a change is in force after %v, want at most %v", name, total, applyWithin)
+		}
+	}
+}
