Make the network a dependency of a node

Listening, dialling and datagrams now come in through platform.New as netio.Network, an interface of three methods. netio.System sets the socket options that the pool and the client of the store set before. What needs the kernel becomes a function of a connection that other connections can implement: netio.Peek (whether the peer has ended an idle connection or sent anything) and netio.ResetOnClose.

There is no test switch in the product.

--- a/cmd/caroblaned/platform.go
+++ b/cmd/caroblaned/platform.go
@@ -12,6 +12,7 @@
 
 	"caroblane/io/clock"
 	"caroblane/io/logs"
+	"caroblane/io/netio"
 	"caroblane/platform"
 )
 
@@ -64,7 +65,7 @@
 	defer writer.Close()
 	reload, stop := notifyReload(ctx)
 	defer stop()
-	if err := platform.New(path, settings, log, system).Run(ctx, reload); err != nil {
+	if err := platform.New(path, settings, log, system, netio.System{}).Run(ctx, reload); err != nil {
 		return exitFailure, err
 	}
 	return exitOK, nil
--- a/io/cmds/push.go
+++ b/io/cmds/push.go
@@ -12,6 +12,7 @@
 	"caroblane/core/model"
 	"caroblane/io/certs"
 	"caroblane/io/link"
+	"caroblane/io/netio"
 )
 
 // peerClient is an HTTP client for the peer listeners of nodes.
@@ -36,7 +37,7 @@
 // either all three or none must be set. Without them it uses plain HTTP.
 func newPeerClient(cmd *cli.Command, now func() time.Time) (peerClient, error) {
 	certificate, key, authority := cmd.String("peer-certificate"), cmd.String("peer-key"), cmd.String("peer-authority")
-	transport := link.NewTransport()
+	transport := link.NewTransport(netio.System{})
 	if certificate == "" && key == "" && authority == "" {
 		return peerClient{"http", &http.Client{Transport: transport, Timeout: requestTimeout}}, nil
 	}
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -18,6 +18,7 @@
 	"github.com/joomcode/errorx"
 
 	"caroblane/io/clock"
+	"caroblane/io/netio"
 )
 
 const (
@@ -253,9 +254,8 @@
 	c.listener.remove(c)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.resetOnClose {
-		// An error means that the connection is closed already.
-		_ = tcp.SetLinger(0)
+	if c.resetOnClose {
+		netio.ResetOnClose(c.Conn)
 	}
 	return c.Conn.Close()
 }
@@ -263,7 +263,7 @@
 // CloseWrite closes the sending side, so that a caller that is still sending its
 // request can read the response.
 func (c *conn) CloseWrite() error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return tcp.CloseWrite()
 	}
 	return errors.ErrUnsupported
--- a/io/entry/tls.go
+++ b/io/entry/tls.go
@@ -8,6 +8,7 @@
 
 	"caroblane/io/certs"
 	"caroblane/io/link"
+	"caroblane/io/netio"
 	"caroblane/io/setup"
 )
 
@@ -49,7 +50,7 @@
 
 // peerTransport returns the URL scheme and the HTTP transport for calls to peers.
 func peerTransport(peerCerts *certs.PeerTLS) (string, *http.Transport) {
-	transport := link.NewTransport()
+	transport := link.NewTransport(netio.System{})
 	if peerCerts == nil {
 		return "http", transport
 	}
--- a/io/link/bench_test.go
+++ b/io/link/bench_test.go
@@ -12,6 +12,7 @@
 	"caroblane/core/effect"
 	"caroblane/core/event"
 	"caroblane/core/model"
+	"caroblane/io/netio"
 )
 
 // countingConn counts the bytes read from and written to a connection.
@@ -55,7 +56,7 @@
 				return sampleReply(received)
 			})
 			var bytes atomic.Int64
-			transport := NewTransport()
+			transport := NewTransport(netio.System{})
 			dial := transport.DialContext
 			transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 				conn, err := dial(ctx, network, address)
--- a/io/link/client.go
+++ b/io/link/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"syscall"
@@ -14,6 +13,7 @@
 	"caroblane/core/event"
 	"caroblane/core/model"
 	"caroblane/io/link/wire"
+	"caroblane/io/netio"
 )
 
 const (
@@ -89,9 +89,9 @@
 // NewTransport returns an HTTP transport for calls between nodes. It does not use
 // a proxy: ECONNREFUSED is taken as proof that the peer's process has stopped,
 // so it must come from the peer's own VM.
-func NewTransport() *http.Transport {
+func NewTransport(network netio.Network) *http.Transport {
 	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: exchangeTimeout}).DialContext,
+		DialContext:            netio.DialFunc(network, netio.Options{DialTimeout: exchangeTimeout}),
 		MaxIdleConnsPerHost:    maxCallsPerPeer,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		IdleConnTimeout:        time.Minute,
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -15,6 +15,7 @@
 	"caroblane/core/effect"
 	"caroblane/core/event"
 	"caroblane/core/model"
+	"caroblane/io/netio"
 	"caroblane/io/ticket"
 )
 
@@ -153,7 +154,7 @@
 func TestCalls(t *testing.T) {
 	status := model.PeerStatus{Region: "r", Name: "a", Incarnation: 3, Version: 5, ValidFor: time.Second, StoreContact: true}
 	b, _ := newPeer(t, sampleReply)
-	client, posted := newClient(t, NewTransport(), b.member)
+	client, posted := newClient(t, NewTransport(netio.System{}), b.member)
 	for name, c := range map[string]struct {
 		effect   effect.Effect
 		received event.Event
@@ -267,7 +268,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			member := c.start(t)
-			client, posted := newClient(t, NewTransport(), member)
+			client, posted := newClient(t, NewTransport(netio.System{}), member)
 			if c.effect != nil {
 				client.Execute(t.Context(), c.effect(member))
 				if got := typeName(nextEvent(t, posted)); got != c.want {
@@ -322,7 +323,7 @@
 // peer and against two concurrent exchanges with a peer.
 func TestCallLimits(t *testing.T) {
 	b, _ := newPeer(t, func(event.Event) effect.Reply { return nil })
-	client, posted := newClient(t, NewTransport(), b.member)
+	client, posted := newClient(t, NewTransport(netio.System{}), b.member)
 	client.Execute(t.Context(), effect.Exchange{Peer: b.member})
 	<-b.received
 	client.Execute(t.Context(), effect.Exchange{Peer: b.member})
@@ -348,7 +349,7 @@
 	var posted eventQueue
 	transport := roundTrip(func(request *http.Request) (*http.Response, error) {
 		sentAt.Store(client.options.Now().UnixNano())
-		return NewTransport().RoundTrip(request)
+		return NewTransport(netio.System{}).RoundTrip(request)
 	})
 	client, posted = newClient(t, transport, b.member)
 	client.Execute(t.Context(), effect.Exchange{Peer: b.member})
@@ -369,10 +370,10 @@
 		}
 		again := request.Clone(request.Context())
 		again.Body = body
-		if response, err := NewTransport().RoundTrip(again); err == nil {
+		if response, err := NewTransport(netio.System{}).RoundTrip(again); err == nil {
 			_ = response.Body.Close()
 		}
-		return NewTransport().RoundTrip(request)
+		return NewTransport(netio.System{}).RoundTrip(request)
 	})
 	client, posted := newClient(t, twice, b.member)
 	client.Execute(t.Context(), effect.Borrow{Peer: "b", Account: "acct", Seq: 5})
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -19,19 +19,16 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
 
+	"caroblane/io/netio"
 	"caroblane/io/probe"
 )
 
 const (
-	// tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT, the maximum time
-	// that sent data may remain unacknowledged.
-	tcpUserTimeout = 18
 	readBufferSize = 8 << 10
 	// maxInlineBody is the maximum size of a request body that is written before the
 	// response is read. Larger bodies are written concurrently, because an
@@ -73,6 +70,7 @@
 
 // Options configures a Pool.
 type Options struct {
+	Network netio.Network
 	// DialTimeout is the timeout for opening a connection.
 	DialTimeout time.Duration
 	// TCPUserTimeout is the time without an acknowledgement of sent data or keep-alive
@@ -109,7 +107,6 @@
 // Pool sends requests and keeps idle connections for reuse.
 type Pool struct {
 	options Options
-	dialer  net.Dialer
 	mu      sync.Mutex
 	idle    map[string][]*conn
 	closed  bool
@@ -151,23 +148,13 @@
 }
 
 // New returns a pool without connections.
-func New(options Options) *Pool {
-	p := &Pool{options: options, idle: map[string][]*conn{}}
-	p.dialer = net.Dialer{
-		Timeout: options.DialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: options.TCPUserTimeout, Interval: options.TCPUserTimeout, Count: 1,
-		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var optErr error
-			err := raw.Control(func(fd uintptr) {
-				optErr = syscall.SetsockoptInt(
-					int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(options.TCPUserTimeout.Milliseconds()))
-			})
-			return errors.Join(err, optErr)
-		},
-	}
-	return p
+func New(options Options) *Pool { return &Pool{options: options, idle: map[string][]*conn{}} }
+
+// dial opens a connection to an address.
+func (p *Pool) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	return p.options.Network.Dial(ctx, address, netio.Options{
+		DialTimeout: p.options.DialTimeout, ProbeInterval: p.options.TCPUserTimeout, AckTimeout: p.options.TCPUserTimeout,
+	})
 }
 
 // Close closes the idle connections. Connections in use are closed when the
@@ -186,7 +173,7 @@
 
 // Reachable reports whether a TCP connection to an address can be opened.
 func (p *Pool) Reachable(ctx context.Context, address string) bool {
-	c, err := p.dialer.DialContext(ctx, "tcp", address)
+	c, err := p.dial(ctx, "tcp", address)
 	if err != nil {
 		return false
 	}
@@ -196,7 +183,7 @@
 
 // Probe is probe.Probe with the dialer of the pool.
 func (p *Pool) Probe(ctx context.Context, address string) error {
-	return probe.Probe(ctx, &p.dialer, address)
+	return probe.Probe(ctx, p.dial, address)
 }
 
 // Send sends a request and returns once the response headers have been read. The
@@ -242,7 +229,7 @@
 		}
 		_ = c.Close()
 	}
-	raw, err := p.dialer.DialContext(ctx, "tcp", r.Address)
+	raw, err := p.dial(ctx, "tcp", r.Address)
 	if err != nil {
 		return nil, false, Unsent.Wrap(err, "connect to %s", r.Address)
 	}
@@ -296,25 +283,7 @@
 }
 
 // usable reports whether an idle connection is still open and has no unread data.
-func (c *conn) usable() bool {
-	_, err := c.peek()
-	return c.reader.Buffered() == 0 && errors.Is(err, syscall.EAGAIN)
-}
-
-// peek returns the number of unread bytes, at most one, without waiting for them. The
-// error is EAGAIN if there are none and the connection is open.
-func (c *conn) peek() (n int, err error) {
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	readErr := raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
-	})
-	return max(0, n), errors.Join(readErr, err)
-}
+func (c *conn) usable() bool { return c.reader.Buffered() == 0 && netio.Peek(c.Conn) == netio.Quiet }
 
 // key returns the hash under which a connection remembers the request.
 func (r Request) key() uint64 { return xxhash.Sum64String(r.ID) }
--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"caroblane/io/netio"
 	"caroblane/io/pool"
 )
 
@@ -70,6 +71,7 @@
 
 func newPool(t *testing.T) *pool.Pool {
 	p := pool.New(pool.Options{
+		Network:     netio.System{},
 		DialTimeout: time.Second, TCPUserTimeout: time.Second, IdleTimeout: time.Minute, MaxIdle: 4, Now: time.Now,
 	})
 	t.Cleanup(p.Close)
--- a/io/pool/response.go
+++ b/io/pool/response.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"caroblane/io/clock"
+	"caroblane/io/netio"
 )
 
 // protocolPrefix begins every response, and statusLine matches how each begins.
@@ -130,7 +131,7 @@
 	case n > limit:
 		return Broken.New("response from %s has a body above %d bytes", r.body.request.Address, limit)
 	}
-	if following, _ := c.peek(); c.unexpected || following > 0 || c.reader.Buffered() > 0 {
+	if c.unexpected || netio.Peek(c.Conn) == netio.Unread || c.reader.Buffered() > 0 {
 		return Broken.New("another response from %s on the same connection", r.body.request.Address)
 	}
 	return nil
--- a/io/probe/probe.go
+++ b/io/probe/probe.go
@@ -21,12 +21,15 @@
 	maxTries = 3
 )
 
+// Dial opens a connection, as the method DialContext of net.Dialer does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Probe opens a connection to an address and closes it. It returns nil if the process there
 // keeps the connection or goes on accepting some, and the error of the last connection
 // otherwise, which is ECONNREFUSED if the process has ended.
-func Probe(ctx context.Context, dialer *net.Dialer, address string) error {
+func Probe(ctx context.Context, dial Dial, address string) error {
 	for range maxTries {
-		conn, err := dialer.DialContext(ctx, "tcp", address)
+		conn, err := dial(ctx, "tcp", address)
 		if err != nil && !errors.Is(err, syscall.ECONNRESET) {
 			return err
 		}
--- a/io/probe/probe_test.go
+++ b/io/probe/probe_test.go
@@ -31,7 +31,7 @@
 			c.serve(l)
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
-			if err := Probe(ctx, &net.Dialer{}, l.Addr().String()); !errors.Is(err, c.want) {
+			if err := Probe(ctx, (&net.Dialer{}).DialContext, l.Addr().String()); !errors.Is(err, c.want) {
 				t.Errorf("error %v, want %v", err, c.want)
 			}
 		})
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -247,7 +247,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	return errors.Is(probe.Probe(ctx, c.dialer, a.Upstream.Address), syscall.ECONNREFUSED)
+	return errors.Is(probe.Probe(ctx, c.dialer.DialContext, a.Upstream.Address), syscall.ECONNREFUSED)
 }
 
 // passBody passes a response that is not an event stream to the sink. It buffers
