Run the soak with whole nodes on synthetic time

The nodes are real ones on the network in memory; stand-ins, callers, schedules and the judge are those of the soak, so all its series and checks are there. Processes and links are interfaces of the runner now: build.go has those on loopback, memory.go those in memory.

--- a/fake/serve/http.go
+++ b/fake/serve/http.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"caroblane/io/netio"
 )
 
 const headerTimeout = 10 * time.Second
@@ -29,9 +31,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
+	netio.ResetOnClose(conn)
 	_ = conn.Close()
 }
 
--- a/fake/serve/listen.go
+++ b/fake/serve/listen.go
@@ -6,6 +6,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"caroblane/io/netio"
 )
 
 const (
@@ -19,9 +21,14 @@
 // starting holds copies of its sockets until it executes its program, so that the address
 // of a closed listener may be in use for a time.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
+	return ListenOn(ctx, netio.System{}, address)
+}
+
+// ListenOn is Listen on a network.
+func ListenOn(ctx context.Context, network netio.Network, address string) (net.Listener, error) {
 	end := time.Now().Add(listenTimeout)
 	for {
-		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+		listener, err := network.Listen(ctx, address)
 		if err == nil {
 			return listener, nil
 		}
