Report no usage window again whose record was deleted

Cause: the record that makes a window be reported as it was is deleted with the report of the sixth window after it. Class: two terms for the life of one piece of evidence.

A window far in the future is ignored, as before for the parts.

Writes: at most one more a window, and none while there is traffic.

--- a/core/model/records.go
+++ b/core/model/records.go
@@ -196,7 +196,12 @@
 // UsageSnapshot is the object UsageSnapshot/<name>: the usage that each process
 // counted in windows that are not final. A new lease holder without these counts
 // reads them from it.
-type UsageSnapshot struct{ Parts []UsagePart }
+type UsageSnapshot struct {
+	Parts []UsagePart
+	// Next is the first window that was not reported yet. The records of earlier windows
+	// may be deleted.
+	Next Window
+}
 
 // UsageState states whether the usage of a window was reported.
 type UsageState int
--- a/core/usage/snapshot.go
+++ b/core/usage/snapshot.go
@@ -54,7 +54,7 @@
 
 // withStoredCounts adds the stored counts of processes that this one has not
 // heard from, or the stored sums of cells, and moves back to the earliest stored
-// window.
+// window that was not reported yet.
 func (s State) withStoredCounts(view View) State {
 	stored, _ := s.snapshot.Value()
 	learned := map[model.Incarnation][]model.UsageCount{}
@@ -79,12 +79,24 @@
 	for incarnation, counts := range learned {
 		s.peers = s.peers.Set(incarnation, counts)
 	}
-	if firstWindow < s.window {
+	// A window far in the future would keep all present ones from being reported.
+	if stored.Next <= s.windowOf(view.WallTime)+retainedWindows {
+		firstWindow = max(firstWindow, stored.Next)
+	}
+	if firstWindow != s.window {
 		s = s.withWindow(firstWindow)
 	}
 	return s
 }
 
+// protected reports whether the store keeps every later holder from reporting the window
+// again whose record is deleted with the report of the next one. Such a holder would find
+// no record, and report other counts.
+func (s State) protected() bool {
+	stored, found := s.snapshot.Value()
+	return found && stored.Next > s.window-retainedWindows
+}
+
 // usageCounts returns the counts of a part of a snapshot.
 func usageCounts(part model.UsagePart) []model.UsageCount {
 	var list []model.UsageCount
@@ -107,7 +119,7 @@
 		return s
 	}
 	next := s.snapshotSince(s.oldestReportable(view.WallTime), view)
-	if len(next.Parts) == 0 {
+	if stored, found := s.snapshot.Value(); found && len(next.Parts) == 0 && stored.Next == next.Next {
 		s.saveAt = at.Add(saveInterval)
 		return s
 	}
@@ -128,7 +140,7 @@
 		}
 		all = all.Set(view.Cell, s.CellCounts(view.Cell))
 	}
-	var snapshot model.UsageSnapshot
+	snapshot := model.UsageSnapshot{Next: s.window}
 	for itr := all.Iterator(); !itr.Done(); {
 		incarnation, counts, _ := itr.Next()
 		for _, part := range usageParts(counts, since) {
--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -238,6 +238,13 @@
 		return s
 	}
 	s.nextCallAt = time.Time{}
+	if !s.protected() {
+		// The response to the write of the snapshot continues.
+		if s.saveAt.After(at.Add(retryDelay)) {
+			s.saveAt = at
+		}
+		return s
+	}
 	usage, found := s.stored.Value()
 	switch {
 	case !s.stored.Valid():
--- a/core/usage/usage_test.go
+++ b/core/usage/usage_test.go
@@ -208,6 +208,38 @@
 	}
 }
 
+// TestReportAfterGap guards against a window that a later holder of the lease reports again
+// with other counts, because its record was deleted and the snapshot still has its counts.
+func TestReportAfterGap(t *testing.T) {
+	p := &platform{objects: map[string]model.Usage{}}
+	a, b := newNode(p, 1, 0), newNode(p, 2, 0)
+	a.apply(0, event.RunBegan{Account: "x"})
+	b.apply(0, event.RunBegan{Account: "x"})
+	a.apply(0, leaseHeld(1))
+	const gap = 2 * time.Minute
+	for at := time.Duration(0); at < gap; at += 500 * time.Millisecond {
+		a.apply(at, event.Tick{})
+	}
+	b.apply(gap, leaseHeld(2))
+	for at := gap; at < gap+20*time.Second; at += 500 * time.Millisecond {
+		b.apply(at, event.Tick{})
+	}
+	lines := map[model.Window]string{}
+	for _, r := range p.reports {
+		got := fmt.Sprint(r.Lines)
+		if before, found := lines[r.Window]; found && before != got {
+			t.Errorf("window %v reported as %s and as %s", r.Window, before, got)
+		}
+		lines[r.Window] = got
+	}
+	if last, want := p.reports[len(p.reports)-1].Window, model.Window(start.Add(gap).Unix()/5); last < want {
+		t.Errorf("the last window reported is %v, want %v or later", last, want)
+	}
+	if len(p.objects) > 10 {
+		t.Errorf("%d records are kept", len(p.objects))
+	}
+}
+
 // TestOddSnapshot guards against a stored snapshot with an impossible window, from which
 // on a new holder of the lease reports one window after the other and never comes to
 // the present ones.
@@ -220,7 +252,7 @@
 			}
 			p := &platform{objects: map[string]model.Usage{}, snapshot: &model.UsageSnapshot{Parts: []model.UsagePart{
 				part(7, odd, math.MaxInt64), part(8, window, 4),
-			}}}
+			}, Next: odd}}
 			n := newNode(p, 2, 6*time.Second)
 			n.apply(6*time.Second, leaseHeld(1))
 			for at := 7 * time.Second; at < 12*time.Second; at += 500 * time.Millisecond {
--- a/io/codec/records.go
+++ b/io/codec/records.go
@@ -29,7 +29,7 @@
 	case model.Member:
 		record = memberRecord(v)
 	case model.UsageSnapshot:
-		record = usageSnapshotRecord{mapSlice(v.Parts, usagePartToRecord)}
+		record = usageSnapshotRecord{mapSlice(v.Parts, usagePartToRecord), v.Next}
 	case model.QuotaRecord:
 		record = quotaRecord{v.At.UnixMilli(), mapSlice(v.Accounts, func(h model.QuotaHistory) quotaHistoryRecord {
 			return quotaHistoryRecord(h)
@@ -333,10 +333,13 @@
 	}, nil
 }
 
-type usageSnapshotRecord struct{ Parts []usagePartRecord }
+type usageSnapshotRecord struct {
+	Parts []usagePartRecord
+	Next  model.Window
+}
 
 func usageSnapshotFromRecord(r usageSnapshotRecord) (model.UsageSnapshot, error) {
-	var snapshot model.UsageSnapshot
+	snapshot := model.UsageSnapshot{Next: r.Next}
 	for _, part := range r.Parts {
 		p, err := usagePartFromRecord(part)
 		if err != nil {
