Renew all connections once one has fallen silent

What callers saw: after open connections had fallen silent, requests were lost one after the other, unsafe ones too, on idle connections to upstreams, for up to 10 s (status 504 or 502), against the 3 s for which a loss of connections excuses a node. A watch of upstreams on such a connection hid their leaving for up to 6 s.

A request without an answer on a reused connection closes the idle ones to the same upstream, unless its caller left. Connections to peers are probed each second.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -164,6 +164,8 @@
 		s.passOn(e.Report, &all)
 	case event.FeedAsked:
 		all.Emit(effect.FeedReply{Ticket: e.Ticket, Feed: s.feedFor(e, in.At)})
+	case event.ConnectionsSilent:
+		all.Emit(effect.RenewConnections{})
 	}
 	to := s.receivers(in.Event)
 	if to.has(toFeed) {
--- a/core/edge/receivers.go
+++ b/core/edge/receivers.go
@@ -40,7 +40,8 @@
 		return toScaler
 	case event.AnnounceArrived:
 		return toFeed | toFleet | toQuota | toMember | toServe
-	case event.AnnounceDue, event.FeedAsked, event.SummaryDue, event.SyncDue, event.SyncAnswerDue, event.SuspicionsDue:
+	case event.AnnounceDue, event.FeedAsked, event.SummaryDue, event.SyncDue, event.SyncAnswerDue, event.SuspicionsDue,
+		event.ConnectionsSilent:
 		return 0
 	default:
 		return toAll
--- a/io/link/client.go
+++ b/io/link/client.go
@@ -25,6 +25,10 @@
 	fetchTimeout    = 3 * time.Second
 	pushTimeout     = 3 * time.Second
 
+	// probeInterval is the time without data after which a connection to a peer is probed,
+	// and after which it counts as lost if the probe is not answered.
+	probeInterval = time.Second
+
 	// maxCallsPerPeer is the number of concurrent calls to a peer. It limits the
 	// goroutines and connections that an unresponsive peer can occupy.
 	maxCallsPerPeer = 8
@@ -91,7 +95,7 @@
 // so it must come from the peer's own VM.
 func NewTransport(network netio.Network) *http.Transport {
 	return &http.Transport{
-		DialContext:            netio.DialFunc(network, netio.Options{DialTimeout: exchangeTimeout}),
+		DialContext:            netio.DialFunc(network, netio.Options{DialTimeout: exchangeTimeout, ProbeInterval: probeInterval}),
 		MaxIdleConnsPerHost:    maxCallsPerPeer,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		IdleConnTimeout:        time.Minute,
@@ -103,7 +107,7 @@
 func (c *Client) Done() <-chan struct{} { return c.done }
 
 // Execute starts the call for a Borrow, Exchange, Fetch, FetchFeed, Push or SyncPeer
-// effect and ignores other effects. It does not block: a call above the limit of its
+// effect, closes idle connections for RenewConnections, and ignores other effects. It does not block: a call above the limit of its
 // peer fails immediately.
 func (c *Client) Execute(ctx context.Context, e effect.Effect) {
 	switch e := e.(type) {
@@ -131,6 +135,8 @@
 	case effect.FetchFeed:
 		c.startCall(ctx, e.Peer, false, exchangeTimeout,
 			func(ctx context.Context) event.Event { return c.feed(ctx, e) }, event.FeedFailed{})
+	case effect.RenewConnections:
+		c.options.HTTP.CloseIdleConnections()
 	case effect.Push:
 		c.startCall(ctx, e.Peer, false, pushTimeout,
 			func(ctx context.Context) event.Event { return c.push(ctx, e) }, nil)
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -19,6 +19,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -122,6 +123,8 @@
 	reusableUntil time.Time
 	// carried are the hashes of the IDs of its requests.
 	carried []uint64
+	// reused is set if the connection has carried a request before.
+	reused bool
 	// unexpected is set if a response to another request was received while the
 	// connection waited for one, and spent if the connection must not be reused.
 	unexpected bool
@@ -171,6 +174,29 @@
 	p.idle = nil
 }
 
+// CloseIdle closes the connections that wait for reuse.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address := range p.idle {
+		p.closeIdleLocked(address)
+	}
+}
+
+// closeIdleTo closes the connections to an address that wait for reuse.
+func (p *Pool) closeIdleTo(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeIdleLocked(address)
+}
+
+func (p *Pool) closeIdleLocked(address string) {
+	for _, c := range p.idle[address] {
+		_ = c.Close()
+	}
+	delete(p.idle, address)
+}
+
 // Reachable reports whether a TCP connection to an address can be opened.
 func (p *Pool) Reachable(ctx context.Context, address string) bool {
 	c, err := p.dial(ctx, "tcp", address)
@@ -225,6 +251,7 @@
 			break
 		}
 		if p.options.Now().Before(c.reusableUntil) && !slices.Contains(c.carried, r.key()) && c.usable() {
+			c.reused = true
 			return c, true, nil
 		}
 		_ = c.Close()
@@ -325,12 +352,23 @@
 	stop()
 	_ = c.Close()
 	<-s.done
+	if c.reused && unanswered(ctx, err) {
+		// Connections to an address fall silent together.
+		p.closeIdleTo(r.Address)
+	}
 	if s.written.Load() == 0 {
 		return nil, Unsent.Wrap(err, "connection to %s closed before the request was written", r.Address)
 	}
 	return nil, Broken.Wrap(err, "no response from %s", r.Address)
 }
 
+// unanswered reports whether a response was given up for want of bytes, rather than because
+// its caller left.
+func unanswered(ctx context.Context, err error) bool {
+	cause := context.Cause(ctx)
+	return errors.Is(err, syscall.ETIMEDOUT) || cause != nil && !errors.Is(cause, context.Canceled)
+}
+
 func (s *requestWrite) write(c *conn, b []byte) {
 	n, err := c.Write(b)
 	s.written.Store(int64(n))
