Follow the linter in the network in memory

No behaviour changes; golangci-lint run on fake and platform reports nothing, and the tests of fake/memnet pass.

--- a/fake/memnet/memnet.go
+++ b/fake/memnet/memnet.go
@@ -265,13 +265,15 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for arrival := time.Now().Add(n.link(h.ip, peer).Delay + n.link(peer, h.ip).Delay); ctx.Err() == nil; {
-		if n.link(h.ip, peer).Held || n.link(peer, h.ip).Held {
-			n.changed.wait(ctx, &n.mu, time.Time{})
-		} else if time.Now().Before(arrival) {
-			n.changed.wait(ctx, &n.mu, arrival)
-		} else {
+		held := n.link(h.ip, peer).Held || n.link(peer, h.ip).Held
+		if !held && !time.Now().Before(arrival) {
 			break
 		}
+		until := arrival
+		if held {
+			until = time.Time{}
+		}
+		n.changed.wait(ctx, &n.mu, until)
 	}
 	switch {
 	case ctx.Err() != nil:
