Tell peers of trials of prompt parts that ended without a result

What callers saw: a sound part of prompts was refused for minutes (503 CrashingPart, Retry-After of 430 s).

Cause: a trial without a result was left out of the count at the node that made it, and counted as a failed one at all others, which then wait 10 s, 5 min and 10 min.

Reports now have the number of such trials, and each node takes over the highest one it hears, at most three as before.

Tests of core/serve and io/link pass.

--- a/core/model/suspicion.go
+++ b/core/model/suspicion.go
@@ -46,6 +46,8 @@
 	// Trials is the number of requests that were let through although the part was
 	// held.
 	Trials int
+	// Void is the number of these that ended without a result.
+	Void int
 	// Remaining is how long the sender keeps the suspicion.
 	Remaining time.Duration
 	Marks     []PartMark
--- a/core/poison/merge.go
+++ b/core/poison/merge.go
@@ -20,7 +20,7 @@
 			if s.isOutdated(p) {
 				outdated = append(outdated, p.Part)
 			}
-			s = s.withMarks(p.Part, p.Marks, p.Trials, at.Add(min(p.Remaining, Retention)), at)
+			s = s.withMarks(p.Part, p.Marks, p.Trials, at.Add(min(p.Remaining, Retention)), at).withVoidTrials(p.Part, p.Void)
 		}
 	}
 	if !passOn {
@@ -76,6 +76,19 @@
 	return s.withExplained(part, added, at)
 }
 
+// withVoidTrials takes over the number of trials without a result from a peer.
+func (s State) withVoidTrials(part uint64, void int) State {
+	e, found := s.suspects.Get(part)
+	void = min(void, maxVoidTrials)
+	if !found || !e.held || void <= e.voidTrials {
+		return s
+	}
+	e.trialsBefore += void - e.voidTrials
+	e.voidTrials, e.soundBefore = void, false
+	s.suspects = s.suspects.Set(part, e)
+	return s.withChanged(part)
+}
+
 // isExplained reports whether a held part other than the given one explains a crash.
 func (s State) isExplained(part, crash uint64) bool {
 	for itr := s.held.Iterator(); !itr.Done(); {
@@ -187,7 +200,7 @@
 
 // suspicion returns what is told of a part.
 func (e suspect) suspicion(at time.Time) model.PartSuspicion {
-	p := model.PartSuspicion{Part: e.part, Trials: e.trials, Remaining: e.expiresAt.Sub(at)}
+	p := model.PartSuspicion{Part: e.part, Trials: e.trials, Void: e.voidTrials, Remaining: e.expiresAt.Sub(at)}
 	for _, m := range e.marks {
 		p.Marks = append(p.Marks, model.PartMark{Crash: m.crash, State: m.state})
 	}
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -141,6 +141,7 @@
 		e.voidTrials++
 		e.soundBefore = false
 		s.suspects = s.suspects.Set(part.ID, e)
+		s = s.withChanged(part.ID)
 	}
 	return s
 }
--- a/core/poison/suspect.go
+++ b/core/poison/suspect.go
@@ -50,9 +50,10 @@
 	soundBefore bool
 	// trials is the number of trials that any node made, and trialsBefore how many of
 	// them do not count for the next wait: those made before the part was last cleared,
-	// and those of this node without a result.
+	// and those without a result.
 	trials, trialsBefore int
-	// voidTrials is the number of trials without a result since the part was last cleared.
+	// voidTrials is the number of trials without a result since the part was last cleared:
+	// the highest that any node knows, so that those of several nodes at once count as one.
 	voidTrials int
 	// waitsFrom is when the wait for the next trial began.
 	waitsFrom time.Time
--- a/core/poison/trial_test.go
+++ b/core/poison/trial_test.go
@@ -116,3 +116,32 @@
 		t.Errorf("after a trial the peers are told %+v, want one trial of part 1", list)
 	}
 }
+
+// TestVoidTrialOfPeer guards against a sound part that stays held for minutes, because
+// trials of other nodes ended without a result and count as failed.
+func TestVoidTrialOfPeer(t *testing.T) {
+	h, other := newHistory(), newHistory()
+	for crash := range uint64(holdMarks) {
+		h.crash(crash+1, 2)
+	}
+	other.hear(h)
+	for range maxVoidTrials {
+		h.wait(other.Verdict(parts(2), "m", other.at()).RetryAt.Sub(other.at()))
+		other.now = h.now
+		h.trial(2)
+		h.State = h.WithVoidTrial(parts(2))
+		other.hear(h)
+	}
+	longest := trialWaits[0] * 3 / 2
+	if wait := other.Verdict(parts(2), "m", other.at()).RetryAt.Sub(other.at()); wait > longest {
+		t.Errorf("the next trial is due after %v, want at most %v", wait, longest)
+	}
+	h.wait(time.Second)
+	h.trial(2)
+	h.crash(10, 2)
+	other.now = h.now
+	other.hear(h)
+	if wait := other.Verdict(parts(2), "m", other.at()).RetryAt.Sub(other.at()); wait < trialWaits[1] {
+		t.Errorf("the next trial is due %v after one that crashed, want at least %v", wait, trialWaits[1])
+	}
+}
--- a/io/link/suspicion.go
+++ b/io/link/suspicion.go
@@ -9,7 +9,7 @@
 
 func decodeSuspicion(w *wire.PartSuspicion) model.PartSuspicion {
 	p := model.PartSuspicion{
-		Part: w.GetPart(), Trials: int(w.GetTrials()), Remaining: time.Duration(w.GetLeftMillis()) * time.Millisecond,
+		Part: w.GetPart(), Trials: int(w.GetTrials()), Void: int(w.GetVoid()), Remaining: time.Duration(w.GetLeftMillis()) * time.Millisecond,
 	}
 	add := func(crashes []uint64, state model.MarkState) {
 		for _, crash := range crashes {
@@ -24,7 +24,7 @@
 
 func encodeSuspicion(p model.PartSuspicion) *wire.PartSuspicion {
 	w := &wire.PartSuspicion{
-		Part: p.Part, Trials: uint32(p.Trials), LeftMillis: uint32(max(0, p.Remaining.Milliseconds())),
+		Part: p.Part, Trials: uint32(p.Trials), Void: uint32(p.Void), LeftMillis: uint32(max(0, p.Remaining.Milliseconds())),
 	}
 	for _, m := range p.Marks {
 		switch m.State {
