--- a/core/poison/merge.go
+++ b/core/poison/merge.go
@@ -7,8 +7,8 @@
 	"caroblane/core/model"
 )
 
-// WithReport returns the state with what a peer knows. Whether the peers are told what
-// was new is decided by the caller. Marks form a growing set and expire by the
+// WithReport returns the state with what a peer knows. The caller decides whether
+// what is new is reported to the peers. Marks form a growing set and expire by the
 // remaining time that the peer states, so nothing lasts longer because it is passed
 // on.
 func (s State) WithReport(list []model.PartSuspicion, at time.Time, passOn bool) State {
@@ -33,7 +33,7 @@
 }
 
 // isOutdated reports whether a peer lacks the clearing of a crash. Full reports leave
-// out what was cleared some time ago, so a peer that was cut off has to be told.
+// out what was cleared some time ago, so a peer that was cut off needs a report.
 func (s State) isOutdated(p model.PartSuspicion) bool {
 	e, _ := s.suspects.Get(p.Part)
 	for _, m := range p.Marks {
@@ -55,7 +55,7 @@
 		}
 		countsAt := at
 		if m.State == model.MarkWeak || s.sound.has(part, at) {
-			countsAt = at.Add(settleTime)
+			countsAt = at.Add(countDelay)
 		}
 		if next, isNew := e.withMark(mark{m.Crash, m.State, at, countsAt}); isNew {
 			e = next
@@ -135,8 +135,8 @@
 	return s
 }
 
-// withChanged notes that the peers have to be told of a part. Beyond the limit, they
-// learn of it by the next full reports.
+// withChanged notes that a part has to be reported to the peers. Beyond the limit, the
+// next full reports have it.
 func (s State) withChanged(part uint64) State {
 	if len(s.changed) < model.MaxPartSuspicions && !slices.Contains(s.changed, part) {
 		s.changed = append(s.changed[:len(s.changed):len(s.changed)], part)
@@ -144,10 +144,10 @@
 	return s
 }
 
-// Changed reports whether the peers have to be told of any part.
+// Changed reports whether any part has to be reported to the peers.
 func (s State) Changed() bool { return len(s.changed) > 0 }
 
-// TakeChanged returns what the peers have to be told, as far as it fits one
+// TakeChanged returns what has to be reported to the peers, as far as it fits one
 // announcement, and the state without it.
 func (s State) TakeChanged(at time.Time) (State, []model.PartSuspicion) {
 	var list []model.PartSuspicion
@@ -168,7 +168,7 @@
 	return s, list
 }
 
-// TakeBeliefs returns the changes of which the operator has to be told, and the state
+// TakeBeliefs returns the changes that have to be logged for the operator, and the state
 // without them.
 func (s State) TakeBeliefs() (State, []model.PartBelief) {
 	beliefs := s.beliefs
@@ -176,7 +176,7 @@
 	return s, beliefs
 }
 
-// Report returns what a full report tells peers of the parts: held parts first, then
+// Report returns the parts of a full report to peers: held parts first, then
 // those of which something was learned recently.
 func (s State) Report(at time.Time) []model.PartSuspicion {
 	if s.suspects.Len() == 0 {
@@ -198,7 +198,7 @@
 	return append(list, others[:min(len(others), model.MaxPartSuspicions-len(list))]...)
 }
 
-// suspicion returns what is told of a part.
+// suspicion returns the part as it is reported to peers.
 func (e suspect) suspicion(at time.Time) model.PartSuspicion {
 	p := model.PartSuspicion{Part: e.part, Trials: e.trials, Void: e.voidTrials, Remaining: e.expiresAt.Sub(at)}
 	for _, m := range e.marks {
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -20,10 +20,10 @@
 	// StartTime is how long an answer must have been under way for the upstream to have
 	// survived its start. A crash is noticed within a fraction of it.
 	StartTime = 400 * time.Millisecond
-	// settleTime is the time after which a crash counts against a part that was answered
+	// countDelay is the time after which a crash counts against a part that was answered
 	// soundly shortly before. Within it, a part that many requests share is answered
 	// soundly again if it is not the cause.
-	settleTime = 800 * time.Millisecond
+	countDelay = 800 * time.Millisecond
 	// holdMarks is the number of crashes from which a part is held. After one crash,
 	// any part of any request at the upstream may be the cause.
 	holdMarks = 2
@@ -65,13 +65,13 @@
 	// count against them.
 	held *immutable.SortedMap[uint64, struct{}]
 	open int
-	// byExpiry orders the parts by their expiry, and bySettling those with marks that
+	// byExpiry orders the parts by their expiry, and byCountsAt those with marks that
 	// begin to count later by the first of these times.
 	byExpiry   *immutable.SortedMap[due, struct{}]
-	bySettling *immutable.SortedMap[due, struct{}]
+	byCountsAt *immutable.SortedMap[due, struct{}]
 	sound      soundParts
-	// changed lists the parts of which the peers have to be told, and beliefs the
-	// changes of which the operator has to be told.
+	// changed lists the parts that have to be reported to the peers, and beliefs the
+	// changes that have to be logged for the operator.
 	changed []uint64
 	beliefs []model.PartBelief
 }
@@ -82,7 +82,7 @@
 		suspects:   immutable.NewMap[uint64, suspect](nil),
 		held:       immutable.NewSortedMap[uint64, struct{}](nil),
 		byExpiry:   immutable.NewSortedMap[due, struct{}](dueComparer{}),
-		bySettling: immutable.NewSortedMap[due, struct{}](dueComparer{}),
+		byCountsAt: immutable.NewSortedMap[due, struct{}](dueComparer{}),
 		sound:      newSoundParts(),
 	}
 }
@@ -91,7 +91,7 @@
 func (s State) HasOpen() bool { return s.open > 0 }
 
 // Next returns when WithTime changes the state, or the zero time if it does not.
-func (s State) Next() time.Time { return step.Earliest(first(s.byExpiry), first(s.bySettling)) }
+func (s State) Next() time.Time { return step.Earliest(first(s.byExpiry), first(s.byCountsAt)) }
 
 // Verdict returns whether a request with the given shared parts may run at a node.
 func (s State) Verdict(parts []model.PromptPart, node model.NodeName, at time.Time) Verdict {
@@ -202,7 +202,7 @@
 		}
 		var cleared []model.PartMark
 		for _, m := range e.marks {
-			if m.state != model.MarkCleared && !m.heardAt.After(begunAt) {
+			if m.state != model.MarkCleared && !m.receivedAt.After(begunAt) {
 				cleared = append(cleared, model.PartMark{Crash: m.crash, State: model.MarkCleared})
 			}
 		}
@@ -225,7 +225,7 @@
 		}
 		s = s.without(e)
 	}
-	for itr := s.bySettling.Iterator(); !itr.Done(); {
+	for itr := s.byCountsAt.Iterator(); !itr.Done(); {
 		key, _, _ := itr.Next()
 		if at.Before(key.at) {
 			break
@@ -257,8 +257,8 @@
 	}
 	s.suspects = s.suspects.Set(e.part, e)
 	s.byExpiry = s.byExpiry.Set(due{e.expiresAt, e.part}, struct{}{})
-	if !e.settlesAt.IsZero() {
-		s.bySettling = s.bySettling.Set(due{e.settlesAt, e.part}, struct{}{})
+	if !e.nextCountsAt.IsZero() {
+		s.byCountsAt = s.byCountsAt.Set(due{e.nextCountsAt, e.part}, struct{}{})
 	}
 	if e.held {
 		s.held = s.held.Set(e.part, struct{}{})
@@ -272,8 +272,8 @@
 func (s State) without(e suspect) State {
 	s.suspects = s.suspects.Delete(e.part)
 	s.byExpiry = s.byExpiry.Delete(due{e.expiresAt, e.part})
-	if !e.settlesAt.IsZero() {
-		s.bySettling = s.bySettling.Delete(due{e.settlesAt, e.part})
+	if !e.nextCountsAt.IsZero() {
+		s.byCountsAt = s.byCountsAt.Delete(due{e.nextCountsAt, e.part})
 	}
 	if e.held {
 		s.held = s.held.Delete(e.part)
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -48,8 +48,8 @@
 
 func (h *history) trial(ids ...uint64) { h.State = h.WithTrial(parts(ids...), h.at()) }
 
-// hear merges what another state knows.
-func (h *history) hear(other *history) {
+// merge adds what another state knows.
+func (h *history) merge(other *history) {
 	h.State = h.WithReport(other.Report(other.at()), h.at(), false)
 }
 
@@ -94,21 +94,21 @@
 			h.sound(1)
 			h.crash(1, 1)
 			h.crash(2, 1)
-			h.wait(settleTime)
+			h.wait(countDelay)
 		}, "1"},
 		"sound before and since": {func(h *history) {
 			h.sound(1)
 			h.crash(1, 1)
 			h.crash(2, 1)
 			h.sound(1)
-			h.wait(settleTime)
+			h.wait(countDelay)
 		}, ""},
 		"turns crashing beside a part that stays sound": {func(h *history) {
 			h.sound(1, 2)
 			h.crash(1, 1, 2)
 			h.crash(2, 1, 2)
 			h.sound(1, 3)
-			h.wait(settleTime)
+			h.wait(countDelay)
 		}, "2"},
 		"answer begun before the crash": {func(h *history) {
 			begunAt := h.at()
@@ -122,7 +122,7 @@
 			h.crash(1, 2)
 			h.sound(2)
 			h.crash(2, 2)
-			h.wait(settleTime)
+			h.wait(countDelay)
 		}, ""},
 		"held part explains the crash": {func(h *history) {
 			h.crash(1, 2)
@@ -158,46 +158,46 @@
 			other := newHistory()
 			other.crash(1, 2)
 			other.crash(2, 2)
-			h.hear(other)
+			h.merge(other)
 		}, "2"},
 		"seen by two nodes": {func(h *history) {
 			for range 2 {
 				other := newHistory()
 				other.crash(1, 2)
-				h.hear(other)
-				h.hear(other)
+				h.merge(other)
+				h.merge(other)
 			}
 		}, ""},
 		"each node saw one": {func(h *history) {
 			other := newHistory()
 			other.crash(1, 2)
 			h.crash(2, 2)
-			h.hear(other)
+			h.merge(other)
 		}, "2"},
 		"cleared at another node": {func(h *history) {
 			other := newHistory()
 			h.crash(1, 2)
 			h.crash(2, 2)
-			other.hear(h)
+			other.merge(h)
 			other.sound(2)
-			h.hear(other)
+			h.merge(other)
 		}, ""},
 		"an old report after the clearing": {func(h *history) {
 			other := newHistory()
 			other.crash(1, 2)
 			other.crash(2, 2)
-			h.hear(other)
+			h.merge(other)
 			h.sound(2)
-			h.hear(other)
+			h.merge(other)
 		}, ""},
 		"sound here, seen crashing elsewhere": {func(h *history) {
 			other := newHistory()
 			other.crash(1, 1)
 			other.crash(2, 1)
 			h.sound(1)
-			h.hear(other)
+			h.merge(other)
 			h.sound(1)
-			h.wait(settleTime)
+			h.wait(countDelay)
 		}, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -220,7 +220,7 @@
 		for i, n := range nodes {
 			n.wait(300 * time.Millisecond)
 			next := nodes[(i+1)%len(nodes)]
-			next.hear(n)
+			next.merge(n)
 		}
 	}
 	for i, n := range nodes {
@@ -238,7 +238,7 @@
 	h.crash(1, 2)
 	h.crash(2, 2)
 	h.crash(3, 3)
-	cut.hear(h)
+	cut.merge(h)
 	h.sound(2)
 	h.wait(reportTime)
 	h.crash(4, 4)
@@ -248,11 +248,11 @@
 	if report := h.Report(h.at()); len(report) != 1 || report[0].Part != 4 {
 		t.Errorf("report %+v, want only the held part 4", report)
 	}
-	cut.hear(h)
+	cut.merge(h)
 	for h.Changed() {
 		h.State, _ = h.TakeChanged(h.at())
 	}
-	h.hear(cut)
+	h.merge(cut)
 	var list []model.PartSuspicion
 	h.State, list = h.TakeChanged(h.at())
 	cut.State = cut.WithReport(list, cut.at(), false)
@@ -309,7 +309,7 @@
 	a.sound(2)
 	a.crash(500, 2)
 	a.crash(501, 2)
-	a.wait(settleTime)
+	a.wait(countDelay)
 	if a.held() != "2" {
 		t.Error("cleared marks keep out new ones")
 	}
--- a/core/poison/suspect.go
+++ b/core/poison/suspect.go
@@ -33,8 +33,8 @@
 type mark struct {
 	crash uint64
 	state model.MarkState
-	// heardAt is when this node learned of the crash. It counts from countsAt on.
-	heardAt, countsAt time.Time
+	// receivedAt is when this node learned of the crash. It counts from countsAt on.
+	receivedAt, countsAt time.Time
 }
 
 // suspect is a part during whose requests upstreams crashed.
@@ -57,9 +57,9 @@
 	voidTrials int
 	// waitsFrom is when the wait for the next trial began.
 	waitsFrom time.Time
-	// settlesAt is when the next mark begins to count, or zero.
-	settlesAt time.Time
-	expiresAt time.Time
+	// nextCountsAt is when the next mark begins to count, or zero.
+	nextCountsAt time.Time
+	expiresAt    time.Time
 	// changedAt is when marks or trials were last added.
 	changedAt time.Time
 }
@@ -67,13 +67,13 @@
 // evaluated returns the suspect with what follows from its marks at a time.
 func (e suspect) evaluated(at time.Time) suspect {
 	counting := 0
-	e.open, e.settlesAt = 0, time.Time{}
+	e.open, e.nextCountsAt = 0, time.Time{}
 	for _, m := range e.marks {
 		switch {
 		case m.state == model.MarkCleared:
 			continue
 		case at.Before(m.countsAt):
-			e.settlesAt = step.Earliest(e.settlesAt, m.countsAt)
+			e.nextCountsAt = step.Earliest(e.nextCountsAt, m.countsAt)
 		default:
 			counting++
 		}
@@ -139,7 +139,7 @@
 // explains reports whether a crash is known to be the fault of the part, so that other
 // parts of requests at the same upstream are not its cause.
 func (e suspect) explains(m mark) bool {
-	return e.held && m.state != model.MarkCleared && (m.state == model.MarkStrong || m.heardAt.After(e.heldAt))
+	return e.held && m.state != model.MarkCleared && (m.state == model.MarkStrong || m.receivedAt.After(e.heldAt))
 }
 
 // find returns where the mark of a crash is or belongs.
@@ -160,7 +160,7 @@
 		if old.countsAt.Before(m.countsAt) {
 			m.countsAt = old.countsAt
 		}
-		m.heardAt = old.heardAt
+		m.receivedAt = old.receivedAt
 		marks[at] = m
 	} else {
 		marks = slices.Insert(marks, at, m)
--- a/core/poison/trial_test.go
+++ b/core/poison/trial_test.go
@@ -22,7 +22,7 @@
 			t.Fatalf("trial %d is due after %v, want %v to %v", trial, after, wait, wait*3/2)
 		}
 		other := newHistory()
-		other.hear(h)
+		other.merge(h)
 		if v := other.Verdict(parts(2), "m", other.at()); v.RetryAt.Equal(startTime.Add(after)) {
 			t.Errorf("trial %d is due at the same time at two nodes", trial)
 		}
@@ -50,7 +50,7 @@
 	h.sound(1)
 	h.crash(1, 1)
 	h.crash(2, 1)
-	h.wait(settleTime)
+	h.wait(countDelay)
 	if v := h.Verdict(parts(1), "n", h.at()); v.Part != 1 {
 		t.Fatalf("verdict %+v, want part 1 held", v)
 	}
@@ -77,7 +77,7 @@
 	h, other := newHistory(), newHistory()
 	h.crash(1, 2)
 	h.crash(2, 2)
-	other.hear(h)
+	other.merge(h)
 	for _, node := range []*history{h, other} {
 		node.wait(2 * time.Second)
 		if !node.Verdict(parts(2), "n", node.at()).TrialDue {
@@ -85,18 +85,18 @@
 		}
 	}
 	other.trial(2)
-	h.hear(other)
+	h.merge(other)
 	if v := h.Verdict(parts(2), "n", h.at()); v.TrialDue || v.RetryAt.Sub(h.at()) < trialWaits[1] {
 		t.Errorf("verdict %+v after the trial of another node, want a wait of %v", v, trialWaits[1])
 	}
 	other.sound(2)
-	h.hear(other)
+	h.merge(other)
 	if h.held() != "" {
 		t.Error("held after a sound trial of another node")
 	}
 	h.crash(3, 2)
 	h.crash(4, 2)
-	h.wait(settleTime)
+	h.wait(countDelay)
 	if v := h.Verdict(parts(2), "n", h.at()); v.Part != 2 || v.RetryAt.Sub(h.at()) > 3*trialWaits[0]/2 {
 		t.Errorf("verdict %+v, want the first wait again after a sound trial", v)
 	}
@@ -113,7 +113,7 @@
 	h.trial(1)
 	_, list := h.TakeChanged(h.at())
 	if len(list) != 1 || list[0].Trials != 1 {
-		t.Errorf("after a trial the peers are told %+v, want one trial of part 1", list)
+		t.Errorf("after a trial, %+v is reported to the peers, want one trial of part 1", list)
 	}
 }
 
@@ -124,13 +124,13 @@
 	for crash := range uint64(holdMarks) {
 		h.crash(crash+1, 2)
 	}
-	other.hear(h)
+	other.merge(h)
 	for range maxVoidTrials {
 		h.wait(other.Verdict(parts(2), "m", other.at()).RetryAt.Sub(other.at()))
 		other.now = h.now
 		h.trial(2)
 		h.State = h.WithVoidTrial(parts(2))
-		other.hear(h)
+		other.merge(h)
 	}
 	longest := trialWaits[0] * 3 / 2
 	if wait := other.Verdict(parts(2), "m", other.at()).RetryAt.Sub(other.at()); wait > longest {
@@ -140,7 +140,7 @@
 	h.trial(2)
 	h.crash(10, 2)
 	other.now = h.now
-	other.hear(h)
+	other.merge(h)
 	if wait := other.Verdict(parts(2), "m", other.at()).RetryAt.Sub(other.at()); wait < trialWaits[1] {
 		t.Errorf("the next trial is due %v after one that crashed, want at least %v", wait, trialWaits[1])
 	}
