--- a/review/stand/bodies.go
+++ b/review/stand/bodies.go
@@ -17,15 +17,22 @@
 }
 
 // The crowd: how many clients send a body at once to each node, how long each body is, which is
-// within maxBodyBytes, and how much of it they hold back.
+// within maxBodyBytes, how much of it they hold back, and how fast each client sends. Together they
+// take 60 MB a second, about half of the link of a machine of the site.
 const (
-	crowd    = 120
-	bodySize = 4_000_000
-	heldBack = 10
+	crowd       = 120
+	bodySize    = 4_000_000
+	heldBack    = 10
+	bytesPerSec = 500_000
+	bodyTimeout = 10 * time.Second
 )
 
-// rounds is the number of crowds.
-const rounds = 3
+// rounds is the number of crowds, roundTime how long each lasts, and roundPause the pause after it.
+const (
+	rounds     = 3
+	roundTime  = 11 * time.Second
+	roundPause = 3 * time.Second
+)
 
 // watchMemory ends the process of a node as the platform does once its memory is above the limit
 // of its machine, and starts it again. It returns how often it did so.
@@ -61,12 +68,13 @@
 				return
 			}
 			defer func() { _ = conn.Close() }()
-			_, _ = fmt.Fprintf(conn, "POST /send/%d HTTP/1.1\r\nHost: %s\r\nX-Caroblane-Request-Id: %016x\r\nX-Caroblane-Deadline-Ms: 8000\r\nAuthorization: Token %s\r\nContent-Length: %d\r\n\r\n",
-				i, host, 0x2c41d07be2a00000+round*crowd+i, key, bodySize)
+			_, _ = fmt.Fprintf(conn, "POST /send/%d HTTP/1.1\r\nHost: %s\r\nX-Caroblane-Request-Id: %016x\r\nX-Caroblane-Deadline-Ms: %d\r\nAuthorization: Token %s\r\nContent-Length: %d\r\n\r\n",
+				i, host, 0x2c41d07be2a00000+round*crowd+i, bodyTimeout.Milliseconds(), key, bodySize)
 			for left := bodySize - heldBack; left > 0; left -= len(part) {
 				if _, err := conn.Write(part[:min(left, len(part))]); err != nil {
 					return
 				}
+				time.Sleep(time.Duration(len(part)) * time.Second / bytesPerSec)
 			}
 			_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
 			done := make(chan struct{})
@@ -91,7 +99,7 @@
 	d.addNode("za")
 	d.addNode("zb")
 	w := d.newWorker("i-1", "app", "za")
-	d.start(config(1), []*worker{w})
+	d.start(config(1, func(c map[string]any) { c["routes"].([]map[string]any)[1]["timeoutMs"] = bodyTimeout.Milliseconds() }), []*worker{w})
 	time.Sleep(2 * time.Second)
 	end := make(chan struct{})
 	var watching sync.WaitGroup
@@ -109,10 +117,10 @@
 				running.Go(func() { n.stuck(round, stop) })
 			}
 		}
-		time.Sleep(4 * time.Second)
+		time.Sleep(roundTime)
 		close(stop)
 		running.Wait()
-		time.Sleep(3 * time.Second)
+		time.Sleep(roundPause)
 		for _, n := range d.nodes {
 			if n.send(http.MethodGet, "/read/1", key, 2*time.Second, nil).status == http.StatusOK {
 				answered++
