Review: show one fencing token used by two holders after a drill

Cause: the epoch of the lease is the stored one plus one, so after the store has gone back to a copy an epoch is handed out again.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 [ -x target/review-stand ] && [ -x target/caroblaned ] || exit 2
-exec target/review-stand quota-after-removal review/10/record.txt
+exec target/review-stand fence-after-drill review/10/record.txt
