Review: show that sound uploads outgrow the memory of a machine too

Cause: that of case 8; nothing bounds the bodies of all requests together. Change: a trial beside the cases, which shares the crowd of case 8.

--- a/review/stand/bodies.go
+++ b/review/stand/bodies.go
@@ -14,6 +14,7 @@
 
 func init() {
 	cases["large-bodies"] = largeBodies
+	cases["large-uploads"] = largeUploads
 }
 
 // The crowd: how many clients send a body at once to each node, how long each body is, which is
@@ -27,6 +28,16 @@
 	bodyTimeout = 10 * time.Second
 )
 
+// uploaders is the number of clients that send a whole body at once to each node, and readDelay how
+// long workers take to read one. A sound worker may be silent for 1 to 1.5 s.
+const (
+	uploaders = 40
+	readDelay = time.Second
+)
+
+// crowdOf is a crowd: its size, and how many bytes of a body each client holds back.
+type crowdOf struct{ clients, heldBack int }
+
 // rounds is the number of crowds, roundTime how long each lasts, and roundPause the pause after it.
 const (
 	rounds     = 3
@@ -57,11 +68,11 @@
 	}
 }
 
-// stuck opens connections that send a body but for its last bytes, and holds them for a time.
-func (n *node) stuck(round int, end <-chan struct{}) {
+// press opens connections that send a body, but for the bytes held back, and holds them for a time.
+func (n *node) press(crowd crowdOf, round int, end <-chan struct{}) {
 	var running sync.WaitGroup
 	part := make([]byte, 1<<16)
-	for i := range crowd {
+	for i := range crowd.clients {
 		running.Go(func() {
 			conn, err := net.DialTimeout("tcp", n.front, time.Second)
 			if err != nil {
@@ -69,8 +80,8 @@
 			}
 			defer func() { _ = conn.Close() }()
 			_, _ = fmt.Fprintf(conn, "POST /send/%d HTTP/1.1\r\nHost: %s\r\nX-Caroblane-Request-Id: %016x\r\nX-Caroblane-Deadline-Ms: %d\r\nAuthorization: Token %s\r\nContent-Length: %d\r\n\r\n",
-				i, host, 0x2c41d07be2a00000+round*crowd+i, bodyTimeout.Milliseconds(), key, bodySize)
-			for left := bodySize - heldBack; left > 0; left -= len(part) {
+				i, host, lastID.Add(1)+0x2c41d07be2a00000, bodyTimeout.Milliseconds(), key, bodySize)
+			for left := bodySize - crowd.heldBack; left > 0; left -= len(part) {
 				if _, err := conn.Write(part[:min(left, len(part))]); err != nil {
 					return
 				}
@@ -94,12 +105,27 @@
 // largeBodies lets a crowd of clients send bodies of legal size at once that stop short of their
 // end.
 func largeBodies(log *record, trouble bool) int {
+	return pressAll(log, crowdOf{crowd, heldBack}, 1, 0, trouble)
+}
+
+// largeUploads lets clients send whole bodies of legal size at once.
+func largeUploads(log *record, trouble bool) int {
+	return pressAll(log, crowdOf{uploaders, 0}, 4, readDelay, trouble)
+}
+
+// pressAll lets a crowd send bodies to each of two nodes, some times, and watches their memory.
+func pressAll(log *record, crowd crowdOf, servers int, pause time.Duration, trouble bool) int {
 	d := newDeployment(log)
 	defer d.close()
 	d.addNode("za")
 	d.addNode("zb")
-	w := d.newWorker("i-1", "app", "za")
-	d.start(config(1, func(c map[string]any) { c["routes"].([]map[string]any)[1]["timeoutMs"] = bodyTimeout.Milliseconds() }), []*worker{w})
+	var workers []*worker
+	for i := range servers {
+		w := d.newWorker(fmt.Sprintf("i-%d", i+1), "app", "za")
+		w.pause = pause
+		workers = append(workers, w)
+	}
+	d.start(config(1, func(c map[string]any) { c["routes"].([]map[string]any)[1]["timeoutMs"] = bodyTimeout.Milliseconds() }), workers)
 	time.Sleep(2 * time.Second)
 	end := make(chan struct{})
 	var watching sync.WaitGroup
@@ -112,9 +138,9 @@
 		stop := make(chan struct{})
 		var running sync.WaitGroup
 		if trouble {
-			log.add("round %d: %d clients send bodies of %d bytes to each node, and hold back the last %d", round+1, crowd, bodySize, heldBack)
+			log.add("round %d: %d clients send bodies of %d bytes to each node, and hold back the last %d", round+1, crowd.clients, bodySize, crowd.heldBack)
 			for _, n := range d.nodes {
-				running.Go(func() { n.stuck(round, stop) })
+				running.Go(func() { n.press(crowd, round, stop) })
 			}
 		}
 		time.Sleep(roundTime)
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -26,8 +26,9 @@
 	log                        *record
 	born                       int64
 	stage                      string
-	// work is how long the worker works on a request.
-	work time.Duration
+	// pause is how long the worker waits before it reads the body of a request, and work how long
+	// it works on the request then.
+	pause, work time.Duration
 	// handle, if set, answers the requests that the worker runs.
 	handle func(w http.ResponseWriter, r *http.Request)
 
@@ -154,6 +155,7 @@
 		w.handle(rw, r)
 		return
 	}
+	time.Sleep(w.pause)
 	_, _ = io.Copy(io.Discard, r.Body)
 	time.Sleep(w.work)
 	body := fmt.Sprintf("answer of %s to %s", w.id, id)
