Never hand out an epoch twice after the store comes back from a copy

Cause: the epoch of a new holder was the stored one plus one, which is new only if the store forgets nothing. Store-Era was read nowhere. A copy of the store that names a former holder, or shows the lease as released, counted as the present state, while a later holder still acted. Nodes that had seen a higher revision could not read the lease any more, so only a fresh process took it.

Change: a version has the era in its upper 24 bits, so every comparison puts a later era first. An epoch begins with the era in which it was acquired. A lease of an earlier era belongs to an unknown holder, also if it names this process, and is taken after a full takeover delay. An object that does not exist has revision zero of its era.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -106,10 +106,16 @@
 func (s State) Stopped() bool { return s.stopped }
 
 // isHolder reports whether the copy of the object names this process as the
-// holder.
+// holder, and was written in the present era. A lease of an earlier era ended with it:
+// another process may have acquired it since, and the store may have lost that.
 func (s State) isHolder() bool {
 	lease, found := s.object.Value()
-	return found && lease.Holder == s.node && lease.Incarnation == s.incarnation
+	return found && lease.Holder == s.node && lease.Incarnation == s.incarnation && s.ofThisEra(lease)
+}
+
+// ofThisEra reports whether a lease was acquired in the era in which it was read.
+func (s State) ofThisEra(lease model.Lease) bool {
+	return lease.Epoch.Era() >= s.object.Version().Era()
 }
 
 func (s State) expireAuthority(at time.Time, out *Out) State {
@@ -195,12 +201,13 @@
 }
 
 // takeoverAt returns when the observed version will have been unchanged for
-// long enough. An object that is missing or cannot be decoded counts as a lease held by
-// an unknown process. A released lease may be taken at once, but not on a VM that held it
-// shortly before: another holder between would have taken turns with it. A process that
-// has just started does not know whether an earlier one on its VM held it.
+// long enough. An object that is missing, cannot be decoded or comes from an earlier era
+// counts as a lease held by an unknown process. A released lease may be taken at once, but
+// not on a VM that held it shortly before: another holder between would have taken turns
+// with it. A process that has just started does not know whether an earlier one on its VM
+// held it.
 func (s State) takeoverAt() time.Time {
-	if lease, found := s.object.Value(); found && lease.Holder == "" {
+	if lease, found := s.object.Value(); found && lease.Holder == "" && s.ofThisEra(lease) {
 		heldAt := s.startAt
 		if s.heldUntil.After(heldAt) {
 			heldAt = s.heldUntil
@@ -294,7 +301,7 @@
 func (s State) nextEpoch() model.Epoch {
 	lease, found := s.object.Value()
 	if found {
-		return lease.Epoch + 1
+		return lease.Epoch.Next(s.object.Version())
 	}
 	return model.Epoch(s.object.Version()) + 1
 }
--- a/core/model/names.go
+++ b/core/model/names.go
@@ -4,9 +4,6 @@
 // AccountName names a client account.
 type AccountName string
 
-// Epoch is a fencing token. It increases whenever the holder of a lease changes.
-type Epoch uint64
-
 // Incarnation identifies one run of a node's process.
 type Incarnation uint64
 
@@ -35,9 +32,5 @@
 // UpstreamName names an upstream.
 type UpstreamName string
 
-// Version is the revision of the platform's store at which an object was last
-// written. It is monotonically increasing.
-type Version uint64
-
 // ZoneName names an availability zone.
 type ZoneName string
--- a/core/record/copy.go
+++ b/core/record/copy.go
@@ -90,7 +90,7 @@
 	case event.ObjectWritten:
 		c.valid, c.found, c.version, c.value = true, !c.deleting, e.Version, c.pendingValue
 		if c.deleting {
-			c.version = 0
+			c.version = model.NewVersion(e.Version.Era(), 0)
 		}
 		return c, Written
 	case event.ObjectConflict:
@@ -107,8 +107,8 @@
 // Value returns the object and whether it exists.
 func (c Copy[V]) Value() (V, bool) { return c.value, c.found }
 
-// Version returns the last known version. Zero means that the object did not
-// exist. An object with a version that has no value cannot be decoded.
+// Version returns the last known version. Revision zero means that the object did not
+// exist in that era. An object with a version that has no value cannot be decoded.
 func (c Copy[V]) Version() model.Version { return c.version }
 
 // WithValue returns a valid copy with a value obtained from another source.
@@ -127,11 +127,12 @@
 }
 
 // handleObjectRead applies the response to a read, unless it is older than the
-// copy. An object that cannot be decoded has a version, but no value.
+// copy. An object that cannot be decoded has a version, but no value. One that does not
+// exist has the version that tells the era.
 func (c Copy[V]) handleObjectRead(e event.ObjectRead) (Copy[V], Result) {
 	var zero V
-	if !e.Found {
-		c.valid, c.found, c.version, c.value = true, false, 0, zero
+	if !e.Found && e.Object.Version.Era() >= c.version.Era() {
+		c.valid, c.found, c.version, c.value = true, false, e.Object.Version, zero
 		return c, Read
 	}
 	if e.Unreadable && e.Object.Version >= c.version {
