Report no window again whose record the store lost in a drill

Cause: a missing record was taken as the proof that a window was never reported. In a later era of the store it proves nothing.

The leases of the earlier era had ended by then, and a window is reported only after its end, so nobody can have reported it. Windows before it are left out: a missing report is priced, two different ones break the rule.

--- a/core/model/records.go
+++ b/core/model/records.go
@@ -197,6 +197,9 @@
 // counted in windows that are not final. A new lease holder without these counts
 // reads them from it.
 type UsageSnapshot struct {
+	// Epoch is that of the holder that wrote the snapshot. In a later era, the store has
+	// lost what was written after the snapshot.
+	Epoch Epoch
 	Parts []UsagePart
 	// Next is the first window that was not reported yet. The records of earlier windows
 	// may be deleted.
--- a/core/usage/snapshot.go
+++ b/core/usage/snapshot.go
@@ -54,7 +54,10 @@
 
 // withStoredCounts adds the stored counts of processes that this one has not
 // heard from, or the stored sums of cells, and moves back to the earliest stored
-// window that was not reported yet.
+// window that was not reported yet. In a new era of the store it begins with the present
+// window: earlier ones may have been reported under a record that the store has lost.
+// Holders of the earlier era cannot have reported the present one, because their leases
+// ended before this one began and a window is reported only after its end.
 func (s State) withStoredCounts(view View) State {
 	stored, _ := s.snapshot.Value()
 	learned := map[model.Incarnation][]model.UsageCount{}
@@ -83,6 +86,9 @@
 	if stored.Next <= s.windowOf(view.WallTime)+retainedWindows {
 		firstWindow = max(firstWindow, stored.Next)
 	}
+	if !s.ofThisEra(stored) {
+		firstWindow = max(firstWindow, s.windowOf(view.WallTime))
+	}
 	if firstWindow != s.window {
 		s = s.withWindow(firstWindow)
 	}
@@ -90,11 +96,18 @@
 }
 
 // protected reports whether the store keeps every later holder from reporting the window
-// again whose record is deleted with the report of the next one. Such a holder would find
-// no record, and report other counts.
+// again whose record is deleted with the report of the next one, and windows that were
+// reported in an earlier era. Such a holder would find no record, and report other counts.
 func (s State) protected() bool {
 	stored, found := s.snapshot.Value()
-	return found && stored.Next > s.window-retainedWindows
+	return found && stored.Next > s.window-retainedWindows && s.ofThisEra(stored)
+}
+
+// ofThisEra reports whether a snapshot was written in the era of the lease, so that the
+// store has lost no record since. The zero snapshot is that of a store without one: only
+// where eras are not numbered does its absence show that nothing was reported.
+func (s State) ofThisEra(stored model.UsageSnapshot) bool {
+	return stored.Epoch.Era() >= s.epoch.Era()
 }
 
 // usageCounts returns the counts of a part of a snapshot.
@@ -119,7 +132,7 @@
 		return s
 	}
 	next := s.snapshotSince(s.oldestReportable(view.WallTime), view)
-	if stored, found := s.snapshot.Value(); found && len(next.Parts) == 0 && stored.Next == next.Next {
+	if stored, found := s.snapshot.Value(); found && len(next.Parts) == 0 && stored.Next == next.Next && s.ofThisEra(stored) {
 		s.saveAt = at.Add(saveInterval)
 		return s
 	}
@@ -140,7 +153,7 @@
 		}
 		all = all.Set(view.Cell, s.CellCounts(view.Cell))
 	}
-	snapshot := model.UsageSnapshot{Next: s.window}
+	snapshot := model.UsageSnapshot{Epoch: s.epoch, Next: s.window}
 	for itr := all.Iterator(); !itr.Done(); {
 		incarnation, counts, _ := itr.Next()
 		for _, part := range usageParts(counts, since) {
--- a/io/codec/records.go
+++ b/io/codec/records.go
@@ -29,7 +29,7 @@
 	case model.Member:
 		record = memberRecord(v)
 	case model.UsageSnapshot:
-		record = usageSnapshotRecord{mapSlice(v.Parts, usagePartToRecord), v.Next}
+		record = usageSnapshotRecord{v.Epoch, mapSlice(v.Parts, usagePartToRecord), v.Next}
 	case model.QuotaRecord:
 		record = quotaRecord{v.At.UnixMilli(), mapSlice(v.Accounts, func(h model.QuotaHistory) quotaHistoryRecord {
 			return quotaHistoryRecord(h)
@@ -334,12 +334,13 @@
 }
 
 type usageSnapshotRecord struct {
+	Epoch model.Epoch `json:",omitempty"`
 	Parts []usagePartRecord
 	Next  model.Window
 }
 
 func usageSnapshotFromRecord(r usageSnapshotRecord) (model.UsageSnapshot, error) {
-	snapshot := model.UsageSnapshot{Next: r.Next}
+	snapshot := model.UsageSnapshot{Epoch: r.Epoch, Next: r.Next}
 	for _, part := range r.Parts {
 		p, err := usagePartFromRecord(part)
 		if err != nil {
