Take configurations and upstreams from a store that came back from a copy

With eras in the versions the copy is taken, which alone would bring back what it lacks: a withdrawn key, or an upstream as ready that has reported that it leaves or whose entry was removed.

Change: a configuration of a later era replaces the one in force only if its number is not lower, and otherwise confirms nothing. An upstream of the same incarnation stays leaving.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -41,6 +41,9 @@
 	local model.UpstreamUse
 	peers model.UpstreamUse
 	cells model.UpstreamUse
+	// returnedAt is when the upstream may get requests again whose entry returned with a
+	// copy of the store after it was removed, or zero.
+	returnedAt time.Time
 	// nextRole is the role that the engine was ordered to take. Until
 	// roleChangeUntil it gets no requests, unless its entry shows the role
 	// earlier.
@@ -132,6 +135,7 @@
 	speeds        *immutable.SortedMap[model.ServiceName, speed]
 	servicePauses *immutable.SortedMap[model.ServiceName, *streamPace]
 	notices       *immutable.SortedMap[model.UpstreamInstance, notice]
+	removals      removals
 	// wallTime is the common time of day at the event that is processed, or zero if it is
 	// not known.
 	wallTime    time.Time
@@ -151,6 +155,7 @@
 		speeds:        immutable.NewSortedMap[model.ServiceName, speed](nil),
 		servicePauses: immutable.NewSortedMap[model.ServiceName, *streamPace](nil),
 		notices:       immutable.NewSortedMap[model.UpstreamInstance, notice](instanceComparer{}),
+		removals:      newRemovals(),
 	}
 }
 
@@ -172,8 +177,7 @@
 		s = s.handleUpstreamRegistered(e, in.At, &out)
 	case event.UpstreamRemoved:
 		if e.Revision >= s.revision {
-			s.upstreams = s.upstreams.Delete(e.Name)
-			s = s.withoutUnnumbered(e.Name)
+			s = s.withoutEntry(e.Name, in.At)
 			s.revision = e.Revision
 			s.registrySeq++
 			s = s.withServiceIndex()
@@ -275,7 +279,8 @@
 
 // Usable reports whether the upstream may get requests at the given time.
 func (u Upstream) Usable(at time.Time) bool {
-	return u.State == model.UpstreamActive && !u.evacuated && !at.Before(u.roleChangeUntil) && u.notice().admits(at)
+	return u.State == model.UpstreamActive && !u.evacuated && !at.Before(u.returnedAt) && !at.Before(u.roleChangeUntil) &&
+		u.notice().admits(at)
 }
 
 // PromptBacklog returns the number of prompt tokens that the upstream has yet to
--- a/core/fleet/registry.go
+++ b/core/fleet/registry.go
@@ -37,7 +37,7 @@
 			next = next.Set(name, u)
 			s.nextGoneAt = step.Earliest(s.nextGoneAt, u.goneAt)
 		} else {
-			s = s.withoutUnnumbered(name)
+			s = s.withoutEntry(name, at)
 		}
 	}
 	if changed || next.Len() != s.upstreams.Len() {
@@ -74,6 +74,9 @@
 			old.misdirections, old.avoidUntil = 0, time.Time{}
 		}
 		last := old.EntryVersion
+		if old.staysDraining(u) {
+			u.State = model.UpstreamDraining
+		}
 		old.Upstream = u
 		old = old.withColdEntry(last, at, out)
 		old.goneAt = time.Time{}
@@ -83,11 +86,12 @@
 		return old
 	}
 	return s.withReportedUse(Upstream{
-		Upstream:  u,
-		Hash:      xxhash.Sum64String(string(u.Name)),
-		local:     model.UpstreamUse{Upstream: u.Name},
-		heard:     newHeard(s.noticeOf(instanceOf(u)), time.Time{}),
-		evacuated: s.evacuations.Has(u.Zone),
+		Upstream:   u,
+		Hash:       xxhash.Sum64String(string(u.Name)),
+		local:      model.UpstreamUse{Upstream: u.Name},
+		heard:      newHeard(s.noticeOf(instanceOf(u)), time.Time{}),
+		evacuated:  s.evacuations.Has(u.Zone),
+		returnedAt: s.returnTime(u, at),
 	}.withColdEntry(0, at, out))
 }
 
@@ -105,7 +109,7 @@
 			s.nextGoneAt = step.Earliest(s.nextGoneAt, u.goneAt)
 		default:
 			kept = kept.Delete(name)
-			s = s.withoutUnnumbered(name)
+			s = s.withoutEntry(name, at)
 			out.Emit(beliefEffect(model.UpstreamGone, u.Upstream))
 		}
 	}
--- a/core/site/site.go
+++ b/core/site/site.go
@@ -119,7 +119,7 @@
 	if !e.ByPeer && e.SentAt.After(s.answeredAt) {
 		s.answeredAt = e.SentAt
 	}
-	if e.Site != nil && e.Revision > s.site.Revision {
+	if e.Site != nil && s.isLater(e.Site, e.Revision) {
 		s.site, s.hasLimits = e.Site, e.Site.HasLimits()
 	}
 	if e.Revision != s.site.Revision {
@@ -130,3 +130,13 @@
 	}
 	return s
 }
+
+// isLater reports whether a configuration that was read replaces the active one. When the
+// store comes back from a copy, it holds an earlier configuration than before until the
+// operator has written the later one again, which has the higher number.
+func (s State) isLater(read *model.Site, revision model.Version) bool {
+	if revision.Era() > s.site.Revision.Era() && read.Number < s.site.Number {
+		return false
+	}
+	return revision > s.site.Revision
+}
--- a/core/site/site_test.go
+++ b/core/site/site_test.go
@@ -149,3 +149,33 @@
 		}
 	}
 }
+
+// TestSiteAfterRestore guards against a configuration that is never taken after the store
+// came back from a copy, because its revision is lower than before, and against the earlier
+// configuration of the copy, whose withdrawn keys would work again, until the operator has
+// written the later one again.
+func TestSiteAfterRestore(t *testing.T) {
+	read := func(s site.State, sent time.Duration, era model.Era, revision uint64, number int64) site.State {
+		version := model.NewVersion(era, revision)
+		s, _ = s.Apply(step.Input[event.Event]{At: timeAt(sent), Event: event.SiteRead{
+			SentAt: timeAt(sent), Revision: version, Site: &model.Site{Revision: version, Number: number},
+		}})
+		return s
+	}
+	s := read(site.New(model.Bounds{RevocationDelay: 5 * time.Second}), 0, 1, 40, 7)
+	s = read(s, 2*time.Second, 2, 30, 4)
+	if s.Site().Number != 7 || s.Fresh(timeAt(6*time.Second)) {
+		t.Errorf("number %d in force, fresh %v after a read of the copy; want 7 without a new confirmation", s.Site().Number, s.Fresh(timeAt(6*time.Second)))
+	}
+	s = read(s, 3*time.Second, 2, 33, 7)
+	if s.Site().Revision != model.NewVersion(2, 33) || !s.Fresh(timeAt(7*time.Second)) {
+		t.Error("the configuration that was written again is not confirmed")
+	}
+	s = read(s, 4*time.Second, 2, 36, 9)
+	if s.Site().Number != 9 {
+		t.Errorf("number %d in force after a change in the later era, want 9", s.Site().Number)
+	}
+	if s = read(s, 5*time.Second, 1, 50, 8); s.Site().Number != 9 {
+		t.Errorf("number %d in force after an answer of the earlier era, want 9", s.Site().Number)
+	}
+}
