Break off an answer whose connection was reset during the upload

What callers saw: a worker answered a long upload at once with a 200 without length, sent a part of its body and reset the connection while the upload was still being written.

Cause: writer and reader of a connection share its pending error, and the kernel reports it once. If the writer gets it, the reader finds the end of the connection, which also is the end of a response without length or chunks.

Change: at such an end the pool asks the writer. An error other than EPIPE breaks the response off. EPIPE means that the upstream's own end came first, and a writer that goes on means that no reset came, so such answers stay whole. Streams use the same body. A status below 100 was refused before; 000 is in the table of TestResponses now.

--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -35,6 +35,9 @@
 	// response is read. Larger bodies are written concurrently, because an
 	// upstream may respond before it has read the whole request.
 	maxInlineBody = 2 << 10
+	// failureNotice is how long after a reader the writer of a connection may need to notice
+	// that it failed.
+	failureNotice = time.Second
 	// idleMargin is subtracted from the idle timeout stated by an upstream, so
 	// that a connection is not reused while the upstream closes it.
 	idleMargin = 500 * time.Millisecond
@@ -369,6 +372,22 @@
 	return errors.Is(err, syscall.ETIMEDOUT) || cause != nil && !errors.Is(cause, context.Canceled)
 }
 
+// failed reports whether the connection failed while the request was written, after a read
+// has found its end. The kernel reports a reset once, to the writer or to the reader of a
+// connection; if it is the writer, the reader finds the same end as after an upstream that
+// closes in good order. The end of such an upstream comes before any reset, and the writer
+// gets EPIPE, or goes on writing.
+func (s *requestWrite) failed() bool {
+	timer := time.NewTimer(failureNotice)
+	defer timer.Stop()
+	select {
+	case <-s.done:
+		return s.err != nil && !errors.Is(s.err, syscall.EPIPE)
+	case <-timer.C:
+		return false
+	}
+}
+
 func (s *requestWrite) write(c *conn, b []byte) {
 	n, err := c.Write(b)
 	s.written.Store(int64(n))
--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -119,6 +119,7 @@
 		"unframed other response":   {script: script{{"HTTP/1.1 200 OK\r\nId: 0\r\n\r\nhello" + closeAfter}}, broken: true},
 		"many other responses":      {script: script{{strings.Repeat(ok("0", "x"), 20)}}, broken: true},
 		"status that is none":       {script: script{{"HTTP/1.1 099 x\r\nId: 1\r\nContent-Length: 2\r\n\r\nhi"}}, broken: true},
+		"status 000":                {script: script{{"HTTP/1.1 000 x\r\nId: 1\r\nContent-Length: 2\r\n\r\nhi"}}, broken: true},
 		"status without a reason":   {script: script{{"HTTP/1.1 200\r\nId: 1\r\nContent-Length: 2\r\n\r\nhi"}}, want: "hi"},
 		"connection ends after all": {script: script{{"HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi"}}, want: "hi"},
 	} {
--- a/io/pool/response.go
+++ b/io/pool/response.go
@@ -142,6 +142,8 @@
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.response.Body.Read(p)
 	switch {
+	case errors.Is(err, io.EOF) && closeDelimited(b.response) && b.requestWrite.failed():
+		return n, Broken.Wrap(b.requestWrite.err, "connection to %s failed within the response", b.request.Address)
 	case errors.Is(err, io.EOF):
 		b.complete = true
 		return n, io.EOF
