Take the deadline of TestLeaseCalls from the clock of the client

The test took "now" from time.Now(), which is up to 10 microseconds ahead of the client's clock, so now and then the deadline had not passed and the call was sent.

--- a/io/plat/watch_test.go
+++ b/io/plat/watch_test.go
@@ -253,7 +253,7 @@
 		{"usage", func() error { return c.ReportUsage(t.Context(), "control.r", usage, deadline) }, nil},
 		{"weights", func() error { _, err := c.Weights(t.Context(), "m", deadline); return err }, nil},
 		{"weights over the rate", func() error { _, err := c.Weights(t.Context(), "m", deadline); return err }, Refused},
-		{"deadline passed", func() error { return c.ReportUsage(t.Context(), "control.r", usage, time.Now()) }, Unsent},
+		{"deadline passed", func() error { return c.ReportUsage(t.Context(), "control.r", usage, c.clock.Now()) }, Unsent},
 		{"response lost", func() error {
 			if err := s.SetFaults(t.Context(), gate.Faults{LoseAnswers: 1}); err != nil {
 				t.Fatal(err)
