Prove a list of upstreams only by the store's answers to its relay

Cause: nodes follow their relay until its proof is old. Its age was that of the configuration, which other cells renew. For the list of upstreams, the relay's word counted, which it gives for 2.5 s after the store last answered it. So nodes began to read some 3 s after the cut.

Change: a report says whether its sender reads the list from the store itself and how long ago the store last answered it. The proof has the older of both ages, so nodes read the store at most 1.85 s after it last answered the relay. A relay that has the list from another node, or could not read it, proves nothing.

--- a/core/edge/report.go
+++ b/core/edge/report.go
@@ -121,6 +121,7 @@
 func (s State) report(to model.Member, in Input) model.Report {
 	at := in.At
 	revision, age, confirmed := s.site.Confirmation(at)
+	registryAge, answered := s.site.AnswerAge(at)
 	report := model.Report{
 		Member:          s.member.Self(),
 		Seq:             s.reportSeq,
@@ -130,8 +131,12 @@
 		Confirmed:       confirmed,
 		ConfirmationAge: age,
 		InContact:       s.site.InContact(at),
-		Evacuations:     s.fleet.Evacuations(),
-		Leaving:         s.draining,
+
+		RegistryConfirmed: answered && s.feed.Reading() && s.fleet.ReadsRegistry(),
+		RegistryAge:       registryAge,
+
+		Evacuations: s.fleet.Evacuations(),
+		Leaving:     s.draining,
 	}
 	if s.reportSeq%membersInterval == 0 {
 		report.Others = s.member.CellMembers()
--- a/core/event/site.go
+++ b/core/event/site.go
@@ -142,6 +142,8 @@
 type UpstreamsRead struct {
 	Revision  model.Version
 	Upstreams []model.Upstream
+	// ByPeer is set if a peer passed on what it had read.
+	ByPeer bool
 }
 
 func (AbandonIgnored) isEvent()     {}
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -187,11 +187,13 @@
 	return s
 }
 
-// handleReport notes the proof in the answer of the relay. It knew no later version when
-// this node sent its call, less the age that it states.
+// handleReport notes the proof in the answer of the relay. When this node sent its call,
+// less the ages that the relay states, it knew of no later version of the configuration, and
+// had an answer of the store itself. The list of upstreams is as old as that answer: other
+// cells go on to prove the configuration to a relay that is cut off from the store.
 func (s State) handleReport(r model.Report, sentAt, at time.Time, out *Out) State {
 	if s.isProof(r) {
-		s.offered = proof{sentAt.Add(-r.ConfirmationAge), r.Site}
+		s.offered = proof{sentAt.Add(-max(r.ConfirmationAge, r.RegistryAge)), r.Site}
 	}
 	return s.fetchNews(r, at, out)
 }
@@ -209,10 +211,10 @@
 }
 
 // isProof reports whether a report proves that this node need not read the store. The
-// proof covers the list of upstreams too, so it comes from the relay, and only while the
-// store answers the relay itself: other cells prove the configuration alone.
+// proof covers the list of upstreams too, so it comes from the relay, and only while that
+// reads the list itself.
 func (s State) isProof(r model.Report) bool {
-	return r.Confirmed && r.InContact && r.Member.Name == s.view.Relay
+	return r.Confirmed && r.RegistryConfirmed && r.Member.Name == s.view.Relay
 }
 
 // fetchNews fetches what a peer has and this node has not: a later configuration, or
@@ -246,7 +248,7 @@
 	}
 	if e.Feed.HasUpstreams {
 		s.upstreams = list{e.Feed.Process, e.Feed.Registry}
-		out.Raise(event.UpstreamsRead{Revision: e.Feed.RegistryRevision, Upstreams: e.Feed.Upstreams})
+		out.Raise(event.UpstreamsRead{Revision: e.Feed.RegistryRevision, Upstreams: e.Feed.Upstreams, ByPeer: true})
 	}
 	return s
 }
--- a/core/feed/feed_test.go
+++ b/core/feed/feed_test.go
@@ -26,7 +26,8 @@
 // proof is the answer of the relay to a call that was sent at a time.
 func proof(sentAt, age time.Duration, site model.Version, registry uint64) event.SyncAnswered {
 	return event.SyncAnswered{SentAt: start.Add(sentAt), Report: model.Report{
-		Member: model.Member{Name: "relay", Incarnation: 9}, Confirmed: true, ConfirmationAge: age, Site: site, Registry: registry, InContact: true,
+		Member: model.Member{Name: "relay", Incarnation: 9}, Confirmed: true, ConfirmationAge: age, Site: site, Registry: registry,
+		RegistryConfirmed: true,
 	}}
 }
 
@@ -72,19 +73,23 @@
 }
 
 // TestRelayOutOfContact guards against nodes that follow a relay which the store turns
-// away, so that none of the cell learns that an upstream leaves, while other cells prove
-// that the configuration is current.
+// away, so that none of the cell learns in time that an upstream leaves, while other cells
+// prove that the configuration is current; and against a relay that has yet to read the list
+// of upstreams itself.
 func TestRelayOutOfContact(t *testing.T) {
 	without, other := proof(2*time.Second, 0, 7, 1), proof(2*time.Second, 0, 7, 1)
-	without.Report.InContact = false
+	without.Report.RegistryConfirmed = false
+	cut := proof(2*time.Second, 0, 7, 1)
+	cut.Report.RegistryAge = 1600 * time.Millisecond
 	other.Report.Member.Name = "other"
 	for name, c := range map[string]struct {
 		report  event.SyncAnswered
 		reading bool
 	}{
-		"relay in contact":     {proof(2*time.Second, 0, 7, 1), false},
-		"relay out of contact": {without, true},
-		"another node":         {other, true},
+		"relay in contact":       {proof(2*time.Second, 0, 7, 1), false},
+		"relay without the list": {without, true},
+		"relay out of contact":   {cut, true},
+		"another node":           {other, true},
 	} {
 		s, _ := apply(feed.New(start), 0, proof(0, 0, 7, 1), follower)
 		s, _ = apply(s, 2*time.Second, c.report, follower)
@@ -95,6 +100,26 @@
 	}
 }
 
+// TestRelayCutOff guards against requests to an upstream that has reported long ago that it
+// leaves: the relay is cut off from the store, and the other cells go on to prove the
+// configuration to it.
+func TestRelayCutOff(t *testing.T) {
+	const answeredAt, exchange, readTime = 2 * time.Second, 500 * time.Millisecond, 100 * time.Millisecond
+	for _, rank := range []int{0, 5, 12, 50} {
+		view := follower
+		view.Rank = rank
+		s, _ := apply(feed.New(start), answeredAt, proof(answeredAt, 0, 7, 1), view)
+		for at := answeredAt; at <= answeredAt+applyWithin-readTime; at += exchange {
+			renewed := proof(at, 0, 7, 1)
+			renewed.Report.RegistryAge = at - answeredAt
+			s, _ = apply(s, at, renewed, view)
+		}
+		if due := s.Next().Sub(start); !s.Reading() && due > answeredAt+applyWithin-readTime {
+			t.Errorf("rank %d: reads the store %v after it last answered the relay, want %v or less", rank, due-answeredAt, applyWithin-readTime)
+		}
+	}
+}
+
 // TestNextRead guards against a node without a proof that sleeps on.
 func TestNextRead(t *testing.T) {
 	s, _ := apply(feed.New(start), time.Second, proof(time.Second, 0, 7, 0), follower)
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -101,7 +101,10 @@
 	zones    map[model.ZoneName]struct{}
 	revision model.Version
 	listed   bool
-	contact  contact
+	// readsRegistry is set if the last list came from the store itself, and no read of it
+	// has failed since.
+	readsRegistry bool
+	contact       contact
 	// nextGoneAt is the earliest goneAt, or zero.
 	nextGoneAt time.Time
 	// dirty lists the upstreams where the work of this node changed since the
@@ -183,7 +186,7 @@
 			s = s.withServiceIndex()
 		}
 	case event.RegistryFailed:
-		s.contact = s.contact.WithFailure(in.At)
+		s.contact, s.readsRegistry = s.contact.WithFailure(in.At), false
 	case event.SiteRead:
 		s.contact = s.contact.WithAnswer(e.SentAt)
 	case event.UseChanged:
@@ -221,6 +224,9 @@
 // Listed reports whether the upstreams have been listed at least once.
 func (s State) Listed() bool { return s.listed }
 
+// ReadsRegistry reports whether this node has its list of upstreams from the store itself.
+func (s State) ReadsRegistry() bool { return s.readsRegistry }
+
 // RegistrySeq returns the number of changes of the list of upstreams.
 func (s State) RegistrySeq() uint64 { return s.registrySeq }
 
--- a/core/fleet/registry.go
+++ b/core/fleet/registry.go
@@ -44,6 +44,7 @@
 		s.registrySeq++
 	}
 	s.upstreams, s.revision, s.listed, s.contact = next, e.Revision, true, s.contact.WithRead()
+	s.readsRegistry = !e.ByPeer
 	return s.withServiceIndex()
 }
 
--- a/core/model/report.go
+++ b/core/model/report.go
@@ -30,8 +30,12 @@
 	ConfirmationAge time.Duration
 	// InContact is set if the store itself answered the sender recently.
 	InContact bool
-	// Registry is the number of changes of the sender's list of upstreams.
-	Registry uint64
+	// Registry is the number of changes of the sender's list of upstreams. If the sender
+	// reads the list from the store itself, RegistryConfirmed is set, and RegistryAge is the
+	// time since the store last answered it. Other nodes do not renew that.
+	Registry          uint64
+	RegistryConfirmed bool
+	RegistryAge       time.Duration
 	// Evacuations are those that the sender knows.
 	Evacuations Evacuations
 	// Leaving is set if the sender is shutting down.
--- a/core/site/site.go
+++ b/core/site/site.go
@@ -78,6 +78,12 @@
 // InContact reports whether the store itself answered this node recently.
 func (s State) InContact(at time.Time) bool { return at.Sub(s.answeredAt) < contactTimeout }
 
+// AnswerAge returns the time since the last read was sent that the store itself answered,
+// and whether it ever did.
+func (s State) AnswerAge(at time.Time) (time.Duration, bool) {
+	return at.Sub(s.answeredAt), !s.answeredAt.IsZero()
+}
+
 // HasConfig reports whether a configuration was read.
 func (s State) HasConfig() bool { return s.site.Revision > 0 }
 
--- a/io/link/announce_test.go
+++ b/io/link/announce_test.go
@@ -39,12 +39,16 @@
 	go sender.Run(ctx)
 	go receiver.Run(ctx)
 	report := model.Report{
-		Member:           model.Member{Name: "a", Zone: "z", Incarnation: 7},
-		Seq:              3,
-		Nodes:            12,
-		Site:             5,
-		Registry:         9,
-		InContact:        true,
+		Member:    model.Member{Name: "a", Zone: "z", Incarnation: 7},
+		Seq:       3,
+		Nodes:     12,
+		Site:      5,
+		Registry:  9,
+		InContact: true,
+
+		RegistryConfirmed: true,
+		RegistryAge:       1200 * time.Millisecond,
+
 		Uses:             []model.UpstreamUse{{Upstream: "u", Prompt: 1200, Runs: 2}},
 		Admitted:         []model.AccountTotal{{Account: "x", Units: 1280, Recent: 80}},
 		Crashes:          []model.CrashRecord{{Fingerprint: 1<<64 - 1, Crashes: []uint64{1<<64 - 1, 4}, Age: 9 * time.Minute}},
--- a/io/link/report.go
+++ b/io/link/report.go
@@ -71,11 +71,15 @@
 
 func decodeReport(w *wire.Report) model.Report {
 	r := model.Report{
-		Member:          decodeMember(w.GetMember()),
-		Seq:             w.GetSeq(),
-		Nodes:           int(w.GetNodes()),
-		Registry:        w.GetRegistry(),
-		InContact:       w.GetInContact(),
+		Member:    decodeMember(w.GetMember()),
+		Seq:       w.GetSeq(),
+		Nodes:     int(w.GetNodes()),
+		Registry:  w.GetRegistry(),
+		InContact: w.GetInContact(),
+
+		RegistryConfirmed: w.GetRegistryConfirmed(),
+		RegistryAge:       time.Duration(w.GetRegistryAgeMicros()) * time.Microsecond,
+
 		Wall:            time.UnixMilli(w.GetWallMillis()),
 		Site:            model.Version(w.GetSite()),
 		Confirmed:       w.GetProven(),
@@ -139,11 +143,15 @@
 
 func encodeReport(r model.Report) *wire.Report {
 	w := &wire.Report{
-		Member:         encodeMember(r.Member),
-		Seq:            r.Seq,
-		Nodes:          saturate(r.Nodes),
-		Registry:       r.Registry,
-		InContact:      r.InContact,
+		Member:    encodeMember(r.Member),
+		Seq:       r.Seq,
+		Nodes:     saturate(r.Nodes),
+		Registry:  r.Registry,
+		InContact: r.InContact,
+
+		RegistryConfirmed: r.RegistryConfirmed,
+		RegistryAgeMicros: r.RegistryAge.Microseconds(),
+
 		Site:           uint64(r.Site),
 		Proven:         r.Confirmed,
 		ProofAgeMicros: r.ConfirmationAge.Microseconds(),
