Give upstreams time to register again in a new era of the store

An upstream that had registered in the last seconds before a drill is missing in the copy until it has registered again. The first list of the era removed it at once, and its return was taken for the entry of one that is gone, so it got nothing for 5 s more. It now stays for the time that upstreams have to be back after an outage of the store, and a removal belongs to the era of the list that shows it. Found in the read-through; two rows of TestUpstreamsAfterRestore fail without it.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -180,7 +180,7 @@
 		s = s.handleUpstreamRegistered(e, in.At, &out)
 	case event.UpstreamRemoved:
 		if e.Revision >= s.revision {
-			s = s.withoutEntry(e.Name, in.At)
+			s = s.withoutEntry(e.Name, e.Revision, in.At)
 			s.revision = e.Revision
 			s.registrySeq++
 			s = s.withServiceIndex()
--- a/core/fleet/outage.go
+++ b/core/fleet/outage.go
@@ -76,9 +76,10 @@
 }
 
 // handleMissing returns an upstream whose entry is missing in a list, and whether it is
-// kept. One that was kept before is not kept for longer.
-func (s State) handleMissing(u Upstream, at time.Time, out *Out) (Upstream, bool) {
-	if u.goneAt.IsZero() && s.contact.mayHaveExpired(at) {
+// kept. One that was kept before is not kept for longer. The first list of a new era may
+// lack upstreams that have yet to register again.
+func (s State) handleMissing(u Upstream, newEra bool, at time.Time, out *Out) (Upstream, bool) {
+	if u.goneAt.IsZero() && (newEra || s.contact.mayHaveExpired(at)) {
 		u.goneAt = at.Add(reregisterGrace)
 		missing := beliefEffect(model.UpstreamMissing, u.Upstream)
 		missing.Until = u.goneAt
--- a/core/fleet/registry.go
+++ b/core/fleet/registry.go
@@ -14,7 +14,8 @@
 )
 
 // handleUpstreamsRead replaces the entries. An upstream whose entry may have expired
-// during an outage of the store is kept for reregisterGrace.
+// during an outage of the store, or may be missing in the copy with which it came back, is
+// kept for reregisterGrace.
 func (s State) handleUpstreamsRead(e event.UpstreamsRead, at time.Time, out *Out) State {
 	if e.Revision < s.revision {
 		return s
@@ -28,16 +29,17 @@
 		next = next.Set(u.Name, s.mergeEntry(u, at, out))
 	}
 	s.nextGoneAt = time.Time{}
+	newEra := e.Revision.Era() > s.revision.Era()
 	for itr := s.upstreams.Iterator(); !itr.Done(); {
 		name, u, _ := itr.Next()
 		if _, found := next.Get(name); found {
 			continue
 		}
-		if u, kept := s.handleMissing(u, at, out); kept {
+		if u, kept := s.handleMissing(u, newEra, at, out); kept {
 			next = next.Set(name, u)
 			s.nextGoneAt = step.Earliest(s.nextGoneAt, u.goneAt)
 		} else {
-			s = s.withoutEntry(name, at)
+			s = s.withoutEntry(name, e.Revision, at)
 		}
 	}
 	if changed || next.Len() != s.upstreams.Len() {
@@ -110,7 +112,7 @@
 			s.nextGoneAt = step.Earliest(s.nextGoneAt, u.goneAt)
 		default:
 			kept = kept.Delete(name)
-			s = s.withoutEntry(name, at)
+			s = s.withoutEntry(name, s.revision, at)
 			out.Emit(beliefEffect(model.UpstreamGone, u.Upstream))
 		}
 	}
--- a/core/fleet/restore.go
+++ b/core/fleet/restore.go
@@ -20,7 +20,7 @@
 	maxRemovals = 512
 )
 
-// removal is the removal of an entry of the registry.
+// removal is the removal of an entry of the registry, in the era that showed it.
 type removal struct {
 	instance model.UpstreamInstance
 	era      model.Era
@@ -53,10 +53,10 @@
 	return false
 }
 
-// withoutEntry removes an upstream whose entry was removed.
-func (s State) withoutEntry(name model.UpstreamName, at time.Time) State {
+// withoutEntry removes an upstream whose entry is missing at a version of the store.
+func (s State) withoutEntry(name model.UpstreamName, revision model.Version, at time.Time) State {
 	if u, found := s.upstreams.Get(name); found && u.Incarnation != 0 {
-		s.removals = s.removals.With(removal{instanceOf(u.Upstream), u.EntryVersion.Era(), at})
+		s.removals = s.removals.With(removal{instanceOf(u.Upstream), revision.Era(), at})
 	}
 	s.upstreams = s.upstreams.Delete(name)
 	return s.withoutUnnumbered(name)
