--- a/core/edge/report.go
+++ b/core/edge/report.go
@@ -123,20 +123,18 @@
 	revision, age, confirmed := s.site.Confirmation(at)
 	registryAge, answered := s.site.AnswerAge(at)
 	report := model.Report{
-		Member:          s.member.Self(),
-		Seq:             s.reportSeq,
-		Registry:        s.fleet.RegistrySeq(),
-		Wall:            in.TimeOfDay(),
-		Site:            revision,
-		Confirmed:       confirmed,
-		ConfirmationAge: age,
-		InContact:       s.site.InContact(at),
-
+		Member:            s.member.Self(),
+		Seq:               s.reportSeq,
+		Registry:          s.fleet.RegistrySeq(),
+		Wall:              in.TimeOfDay(),
+		Site:              revision,
+		Confirmed:         confirmed,
+		ConfirmationAge:   age,
+		InContact:         s.site.InContact(at),
 		RegistryConfirmed: answered && s.feed.Reading() && s.fleet.ReadsRegistry(),
 		RegistryAge:       registryAge,
-
-		Evacuations: s.fleet.Evacuations(),
-		Leaving:     s.draining,
+		Evacuations:       s.fleet.Evacuations(),
+		Leaving:           s.draining,
 	}
 	if s.reportSeq%membersInterval == 0 {
 		report.Others = s.member.CellMembers()
--- a/io/link/announce_test.go
+++ b/io/link/announce_test.go
@@ -39,23 +39,21 @@
 	go sender.Run(ctx)
 	go receiver.Run(ctx)
 	report := model.Report{
-		Member:    model.Member{Name: "a", Zone: "z", Incarnation: 7},
-		Seq:       3,
-		Nodes:     12,
-		Site:      5,
-		Registry:  9,
-		InContact: true,
-
+		Member:            model.Member{Name: "a", Zone: "z", Incarnation: 7},
+		Seq:               3,
+		Nodes:             12,
+		Site:              5,
+		Registry:          9,
+		InContact:         true,
 		RegistryConfirmed: true,
 		RegistryAge:       1200 * time.Millisecond,
-
-		Uses:             []model.UpstreamUse{{Upstream: "u", Prompt: 1200, Runs: 2}},
-		Admitted:         []model.AccountTotal{{Account: "x", Units: 1280, Recent: 80}},
-		Crashes:          []model.CrashRecord{{Fingerprint: 1<<64 - 1, Crashes: []uint64{1<<64 - 1, 4}, Age: 9 * time.Minute}},
-		Changes:          []model.RoleChange{{Upstream: "u", To: model.RolePrefill, Remaining: 3 * time.Second}},
-		Unreachable:      []model.UpstreamName{"u", "v"},
-		LeavingUpstreams: []model.UpstreamInstance{{Name: "u", Incarnation: 1<<64 - 3}},
-		Evacuations:      model.Evacuations{Version: 1 << 60, Zones: []model.ZoneName{"z1", "z2"}},
+		Uses:              []model.UpstreamUse{{Upstream: "u", Prompt: 1200, Runs: 2}},
+		Admitted:          []model.AccountTotal{{Account: "x", Units: 1280, Recent: 80}},
+		Crashes:           []model.CrashRecord{{Fingerprint: 1<<64 - 1, Crashes: []uint64{1<<64 - 1, 4}, Age: 9 * time.Minute}},
+		Changes:           []model.RoleChange{{Upstream: "u", To: model.RolePrefill, Remaining: 3 * time.Second}},
+		Unreachable:       []model.UpstreamName{"u", "v"},
+		LeavingUpstreams:  []model.UpstreamInstance{{Name: "u", Incarnation: 1<<64 - 3}},
+		Evacuations:       model.Evacuations{Version: 1 << 60, Zones: []model.ZoneName{"z1", "z2"}},
 		Pauses: []model.StreamPause{{
 			Upstream: model.UpstreamInstance{Name: "u", Incarnation: 1<<64 - 4}, Longest: 231 * time.Millisecond,
 		}},
--- a/io/link/report.go
+++ b/io/link/report.go
@@ -71,23 +71,21 @@
 
 func decodeReport(w *wire.Report) model.Report {
 	r := model.Report{
-		Member:    decodeMember(w.GetMember()),
-		Seq:       w.GetSeq(),
-		Nodes:     int(w.GetNodes()),
-		Registry:  w.GetRegistry(),
-		InContact: w.GetInContact(),
-
+		Member:            decodeMember(w.GetMember()),
+		Seq:               w.GetSeq(),
+		Nodes:             int(w.GetNodes()),
+		Registry:          w.GetRegistry(),
+		InContact:         w.GetInContact(),
 		RegistryConfirmed: w.GetRegistryConfirmed(),
 		RegistryAge:       time.Duration(w.GetRegistryAgeMicros()) * time.Microsecond,
-
-		Wall:            time.UnixMilli(w.GetWallMillis()),
-		Site:            model.Version(w.GetSite()),
-		Confirmed:       w.GetProven(),
-		ConfirmationAge: time.Duration(w.GetProofAgeMicros()) * time.Microsecond,
-		Evacuations:     decodeEvacuations(w.GetEvacuations()),
-		Leaving:         w.GetLeaving(),
-		Admitted:        decodeAccountTotals(w.GetAdmitted()),
-		Crashes:         decodeCrashRecords(w.GetCrashes()),
+		Wall:              time.UnixMilli(w.GetWallMillis()),
+		Site:              model.Version(w.GetSite()),
+		Confirmed:         w.GetProven(),
+		ConfirmationAge:   time.Duration(w.GetProofAgeMicros()) * time.Microsecond,
+		Evacuations:       decodeEvacuations(w.GetEvacuations()),
+		Leaving:           w.GetLeaving(),
+		Admitted:          decodeAccountTotals(w.GetAdmitted()),
+		Crashes:           decodeCrashRecords(w.GetCrashes()),
 	}
 	for _, u := range w.GetUses() {
 		r.Uses = append(r.Uses, model.UpstreamUse{
@@ -143,22 +141,20 @@
 
 func encodeReport(r model.Report) *wire.Report {
 	w := &wire.Report{
-		Member:    encodeMember(r.Member),
-		Seq:       r.Seq,
-		Nodes:     saturate(r.Nodes),
-		Registry:  r.Registry,
-		InContact: r.InContact,
-
+		Member:            encodeMember(r.Member),
+		Seq:               r.Seq,
+		Nodes:             saturate(r.Nodes),
+		Registry:          r.Registry,
+		InContact:         r.InContact,
 		RegistryConfirmed: r.RegistryConfirmed,
 		RegistryAgeMicros: r.RegistryAge.Microseconds(),
-
-		Site:           uint64(r.Site),
-		Proven:         r.Confirmed,
-		ProofAgeMicros: r.ConfirmationAge.Microseconds(),
-		Evacuations:    encodeEvacuations(r.Evacuations),
-		Leaving:        r.Leaving,
-		Admitted:       encodeAccountTotals(r.Admitted),
-		Crashes:        encodeCrashRecords(r.Crashes),
+		Site:              uint64(r.Site),
+		Proven:            r.Confirmed,
+		ProofAgeMicros:    r.ConfirmationAge.Microseconds(),
+		Evacuations:       encodeEvacuations(r.Evacuations),
+		Leaving:           r.Leaving,
+		Admitted:          encodeAccountTotals(r.Admitted),
+		Crashes:           encodeCrashRecords(r.Crashes),
 	}
 	if !r.Wall.IsZero() {
 		w.WallMillis = r.Wall.UnixMilli()
