Show that a node orders engines after it gave up its lease

Cause: a node that stops releases the lease at once, and its queue of orders goes on until the lease would have expired.

--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -260,7 +260,7 @@
 }
 
 func main() {
-	cases := map[string]func(*rig) (int, error){"crowd": runCrowd, "release": runRelease, "refusal": runRefusal, "flood": runFlood, "recover": runRecover}
+	cases := map[string]func(*rig) (int, error){"crowd": runCrowd, "release": runRelease, "refusal": runRefusal, "recover": runRecover, "orders": runOrders}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: rig3 CASE DIR")
 		os.Exit(codeUnable)
