Give each process of a case ports of its own

Cause: stand-ins that start later could take the ports of a node that is down. Change: ports are handed out once in a run; case 11 watches each round for 11 s.

--- a/review/rig3/orders.go
+++ b/review/rig3/orders.go
@@ -30,7 +30,7 @@
 	// orderRounds is how often the nodes are started beside other engines, and orderTime how
 	// long orders are watched then.
 	orderRounds = 8
-	orderTime   = 8 * time.Second
+	orderTime   = 11 * time.Second
 )
 
 // wireOrder is an order to an engine.
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -75,13 +75,20 @@
 	dutyAt  string
 }
 
+// given are the ports that freePorts has returned. A process that is down keeps its ports.
+var given = map[int]bool{}
+
 // freePorts returns n consecutive free ports of the loopback address, below the range from
-// which the system takes ports itself.
+// which the system takes ports itself. It is called by one goroutine.
 func freePorts(n int) int {
 	for {
 		first := 10_000 + rand.IntN(20_000)
 		free := true
 		for i := range n {
+			if given[first+i] {
+				free = false
+				break
+			}
 			l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(first+i)))
 			if err != nil {
 				free = false
@@ -90,6 +97,9 @@
 			_ = l.Close()
 		}
 		if free {
+			for i := range n {
+				given[first+i] = true
+			}
 			return first
 		}
 	}
