Count a prefill step that may have run the request as a run

Callers could get an answer of a second run, or a refusal as not run, after an engine had answered a prefill step with something else than a handle.

Cause: such an answer counted as a failed prefill step, which is no run, so the request was sent again whatever its route allows.

Its outcome is now Unconfirmed, as for other answers that do not say whether the request has run: it counts as a run, a repeatable request goes on without a prefill step, and any other one ends with 502.

--- a/core/serve/attempt.go
+++ b/core/serve/attempt.go
@@ -230,9 +230,13 @@
 	if e.Outcome == model.CallerLeft {
 		return s.abandon(e.Ticket, req, out)
 	}
-	if req.step == model.StepPrompt {
+	if req.step == model.StepPrompt && e.Outcome != model.Unconfirmed {
 		return s.afterPrefill(e, req, view, out)
 	}
+	if req.step == model.StepPrompt {
+		// The engine may have run the request instead of computing its prompt only.
+		req.skipPrefill = true
+	}
 	return s.afterRun(e, req, view, out)
 }
 
