Believe a rejection of an engine only if it states that it did not run

The relay of the product's own interface took each 503 and 409 of an engine for a rejection, sent the request again and could answer it as not run.

A rejection now needs Execution=NotRun in its body, as the engines of this interface send it; without it the outcome is unknown.

Two cases of TestStreamFaults failed before: a 503 without the statement was Rejected, and a 409 with Execution=Ran too. The case "full upstream" now has the body of a real rejection in place of an error message.

--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -175,14 +176,14 @@
 			return a.failedAfterSend(ctx, a.ReceivedTokens, crossedResponse.New("response is for request %q attempt %q, want request %q attempt %d",
 				response.Header.Get(headerRequestID), response.Header.Get(headerAttempt), a.RequestID, a.Number))
 		}
-		if response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusConflict {
+		if statesNotRun(response) {
 			return Result{
 				Outcome:      model.Rejected,
 				TokensPassed: a.ReceivedTokens,
 				Err:          upstreamRejected.New("upstream responded with %s", response.Status),
 			}
 		}
-		if response.StatusCode >= http.StatusInternalServerError {
+		if response.StatusCode >= http.StatusInternalServerError || response.StatusCode == http.StatusConflict {
 			return a.failedAfterSend(ctx, a.ReceivedTokens, upstreamFailed.New("upstream responded with %s", response.Status))
 		}
 		if a.Stream && response.StatusCode == http.StatusOK {
@@ -228,6 +229,24 @@
 	return a.failedAfterSend(ctx, a.ReceivedTokens, err)
 }
 
+// maxRefusalBytes limits the refusal of an engine, which has some hundred bytes.
+const maxRefusalBytes = 64 << 10
+
+// wireRefusal is the part of an engine's refusal that says whether it executed the request.
+type wireRefusal struct{ Execution string }
+
+// statesNotRun reports whether a response is a refusal in which the engine states that it did
+// not execute the request. The status alone does not: an engine in trouble may answer with it
+// after a run.
+func statesNotRun(response *http.Response) bool {
+	if response.StatusCode != http.StatusServiceUnavailable && response.StatusCode != http.StatusConflict {
+		return false
+	}
+	var refusal wireRefusal
+	err := json.NewDecoder(io.LimitReader(response.Body, maxRefusalBytes)).Decode(&refusal)
+	return err == nil && refusal.Execution == model.NotRun.String()
+}
+
 // failedAfterSend classifies an error of a request that may have reached the
 // upstream. passed is the number of tokens passed to the caller.
 func (a Attempt) failedAfterSend(ctx context.Context, passed int, err error) Result {
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -140,9 +140,18 @@
 			want: Result{Outcome: model.Broken},
 		},
 		{
-			name: "full upstream", status: http.StatusServiceUnavailable,
+			name: "full upstream", status: http.StatusServiceUnavailable, body: `{"Reason":"Full","Execution":"NotRun"}`,
 			want: Result{Outcome: model.Rejected},
 		},
+		{
+			// Guards against a second run after an engine failed a request that it had run.
+			name: "full upstream that does not state that it did not run", status: http.StatusServiceUnavailable,
+			want: Result{Outcome: model.Broken},
+		},
+		{
+			name: "conflict after a run", status: http.StatusConflict, body: `{"Reason":"Failed","Execution":"Ran"}`,
+			want: Result{Outcome: model.Broken},
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -155,7 +164,11 @@
 				w.Header().Set(headerAttempt, r.Header.Get(headerAttempt))
 				if test.status != 0 {
 					w.WriteHeader(test.status)
-					_, _ = io.WriteString(w, `{"error":{"message":"failed"}}`)
+					text := test.body
+					if text == "" {
+						text = `{"error":{"message":"failed"}}`
+					}
+					_, _ = io.WriteString(w, text)
 					return
 				}
 				_, _ = io.WriteString(w, test.body)
