Keep the socket of a process that was started again in the network in memory

A killed node closes its socket for datagrams once more when it ends. If the next process at the address had opened its own by then, that one was dropped from the network in memory, and the node got no announcements and no summaries of other cells for the rest of a run on synthetic time.

Closing a socket now removes only that socket. TestKill fails before ("gets no datagrams").

--- a/fake/memnet/memnet_test.go
+++ b/fake/memnet/memnet_test.go
@@ -153,6 +153,11 @@
 		if _, err := ended.Listen(t.Context(), farAddress); err != nil {
 			t.Fatal(err)
 		}
+		socket, err := ended.ListenPacket(t.Context(), farAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		addr := socket.LocalAddr()
 		ended.Kill()
 		if _, err := n.Host(nearHost).Dial(t.Context(), farAddress, netio.Options{}); !errors.Is(err, syscall.ECONNREFUSED) {
 			t.Errorf("a connection to the ended process: error %v, want ECONNREFUSED", err)
@@ -160,6 +165,34 @@
 		if _, err := n.Host(farHost).Listen(t.Context(), farAddress); err != nil {
 			t.Errorf("the next process cannot listen: %v", err)
 		}
+		if _, err := socket.WriteTo([]byte("late"), addr); err == nil {
+			t.Error("the ended process can still send datagrams")
+		}
+		next, err := n.Host(farHost).ListenPacket(t.Context(), farAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = socket.Close()
+		sender, err := n.Host(nearHost).ListenPacket(t.Context(), nearHost+":80")
+		if err != nil {
+			t.Fatal(err)
+		}
+		received := make(chan int, 1)
+		go func() {
+			got, _, _ := next.ReadFrom(make([]byte, 8))
+			received <- got
+		}()
+		_, _ = sender.WriteTo([]byte("text"), next.LocalAddr())
+		synctest.Wait()
+		select {
+		case got := <-received:
+			if got != len("text") {
+				t.Errorf("the next process received %d bytes, want 4", got)
+			}
+		default:
+			t.Error("the next process gets no datagrams after the ended one has closed its socket")
+		}
+		_ = next.Close()
 		if _, err := ended.Dial(t.Context(), farAddress, netio.Options{}); !errors.Is(err, syscall.ENETDOWN) {
 			t.Errorf("a connection of the ended process: error %v, want ENETDOWN", err)
 		}
--- a/fake/memnet/packet.go
+++ b/fake/memnet/packet.go
@@ -69,7 +69,10 @@
 func (p *packetConn) closeLocked() {
 	p.closed = true
 	p.changed.notify()
-	delete(p.net.packets, p.address)
+	if p.net.packets[p.address] == p {
+		// The next process may have a socket at this address already.
+		delete(p.net.packets, p.address)
+	}
 }
 
 // LocalAddr implements net.PacketConn.
