Look for the relay of a cell among several members at once

After all nodes had started again, cells did not hear of each other for up to 15 s if many machines had been removed before: a relay looked for the relay of another cell one member after the other, by name, and each one that is gone takes the second of an exchange.

A relay now contacts four members of a cell at once while it does not know the relay. Reports name only the members that their sender has heard itself lately: members that are gone were never forgotten, as nodes told each other of them again and again.

TestRelayBehindGoneNodes fails before: the relay is not contacted within ten rounds of failed exchanges, where two are allowed.

--- a/core/edge/report.go
+++ b/core/edge/report.go
@@ -137,7 +137,7 @@
 		Leaving:           s.draining,
 	}
 	if s.reportSeq%membersInterval == 0 {
-		report.Others = s.member.CellMembers()
+		report.Others = s.member.HeardMembers(at)
 	}
 	if s.member.InCell(to) {
 		report.Uses = s.fleet.Uses()
--- a/core/member/cell.go
+++ b/core/member/cell.go
@@ -20,6 +20,9 @@
 	// failedTimeout is how long a member of another cell is not contacted after it did
 	// not answer.
 	failedTimeout = 3 * time.Second
+	// maxContacts is the number of members of another cell that are contacted at once while
+	// its relay is not known. The first ones by name may all be gone.
+	maxContacts = 4
 	// recorderCount is the number of nodes that keep records on behalf of all, and
 	// candidateCount that of the nodes that compete for the lease, if not all do.
 	recorderCount  = 3
@@ -48,7 +51,8 @@
 	// relay is the relay of this cell; isRelay is set if it is this node.
 	relay   model.Member
 	isRelay bool
-	// contacts are the presumed relays of the other cells, by availability zone.
+	// contacts are the relays of the other cells, or members among whom they may be, by
+	// availability zone.
 	contacts []model.Member
 	// order is the number of other cells in contact whose availability zone sorts
 	// before that of this one.
@@ -82,7 +86,7 @@
 // stopped.
 func (s State) Reachable() []model.Member { return s.layout.live }
 
-// Contacts returns the relays of the other cells.
+// Contacts returns the relays of the other cells, or members among whom they may be.
 func (s State) Contacts() []model.Member { return s.layout.contacts }
 
 // InCell reports whether a member belongs to the cell of this node.
@@ -116,8 +120,18 @@
 	return m
 }
 
-// CellMembers returns the other members of the cell.
-func (s State) CellMembers() []model.Member { return s.layout.cell }
+// HeardMembers returns the other members of the cell that this node has heard itself not long
+// ago. Those that are gone would never be forgotten if nodes told each other of them.
+func (s State) HeardMembers(at time.Time) []model.Member {
+	var heard []model.Member
+	for _, known := range s.layout.cell {
+		m, _ := s.members.Get(known.Name)
+		if m.heard && m.stoppedAt.IsZero() && at.Sub(m.HeardAt) < stoppedRetention {
+			heard = append(heard, m.Member)
+		}
+	}
+	return heard
+}
 
 // CellNodes returns the number of live nodes of the cell, including this one.
 func (s State) CellNodes() int { return s.layout.nodes }
@@ -230,14 +244,14 @@
 // withLayout derives the layout from the members.
 func (s State) withLayout(at time.Time) State {
 	next := &layout{flat: s.members.Len() < maxFlatNodes, relay: s.self, isRelay: !s.draining, nodes: 1, zoneNodes: 1}
-	contacts := map[model.ZoneName]model.Member{}
+	contacts := map[model.ZoneName][]model.Member{}
 	counts := map[model.ZoneName]int{}
 	for itr := s.members.Iterator(); !itr.Done(); {
 		name, m, _ := itr.Next()
 		if m.Zone != s.self.Zone {
 			counts[m.Zone]++
-			if _, found := contacts[m.Zone]; !found && m.stoppedAt.IsZero() && (!m.failed || at.Sub(m.failedAt) >= failedTimeout) {
-				contacts[m.Zone] = m.Member
+			if len(contacts[m.Zone]) < maxContacts && m.stoppedAt.IsZero() && (!m.failed || at.Sub(m.failedAt) >= failedTimeout) {
+				contacts[m.Zone] = append(contacts[m.Zone], m.Member)
 			}
 		} else {
 			next.zoneNodes++
@@ -276,24 +290,21 @@
 
 // withCells completes a layout with several cells. A cell whose summaries arrive is
 // reached through their sender.
-func (s State) withCells(next *layout, contacts map[model.ZoneName]model.Member, counts map[model.ZoneName]int, at time.Time) *layout {
+func (s State) withCells(next *layout, contacts map[model.ZoneName][]model.Member, counts map[model.ZoneName]int, at time.Time) *layout {
 	next.allNodes = len(next.live) + 1
 	for zone, count := range counts {
-		contact, found := contacts[zone]
 		if known, heard := s.cells.Get(zone); heard {
 			count = known.nodes
 			if at.Sub(known.heardAt) < liveTimeout {
-				contact, found = known.relay, true
+				contacts[zone] = []model.Member{known.relay}
 				if zone < s.self.Zone {
 					next.order++
 				}
 			}
 		}
 		next.allNodes += count
-		if found {
-			next.contacts = append(next.contacts, contact)
-		}
+		next.contacts = append(next.contacts, contacts[zone]...)
 	}
-	slices.SortFunc(next.contacts, compareZones)
+	slices.SortStableFunc(next.contacts, compareZones)
 	return next
 }
--- a/core/member/cell_test.go
+++ b/core/member/cell_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -81,6 +82,28 @@
 	}
 }
 
+// TestRelayBehindGoneNodes guards against cells that do not hear of each other for long after
+// all nodes started again, because the first members of a cell by name are gone for good.
+func TestRelayBehindGoneNodes(t *testing.T) {
+	all := nodes(10, "a", "b")
+	s := newMember(node("a", 0), all, 0)
+	at, rounds := 10*time.Second, 0
+	for ; !slices.Contains(s.Contacts(), node("b", 9)) && rounds < 10; rounds++ {
+		for _, gone := range s.Contacts() {
+			s, _ = apply(s, at, event.SyncFailed{Peer: gone.Name})
+		}
+		at += time.Second
+		s, _ = apply(s, at, event.Tick{})
+	}
+	if rounds > 2 {
+		t.Errorf("the last of ten nodes is contacted after %d rounds of failed exchanges, want at most 2", rounds)
+	}
+	s, _ = apply(s, at, event.SyncAnswered{Report: model.Report{Member: node("b", 9), Seq: 1, Nodes: 1}, SentAt: start.Add(at)})
+	if got := s.Contacts(); len(got) != 1 || got[0].Name != node("b", 9).Name {
+		t.Errorf("contacts %v once the relay is heard, want it alone", got)
+	}
+}
+
 // TestRelay guards against a cell without a relay, or whose nodes disagree about it for
 // long after it has stopped or does not answer.
 func TestRelay(t *testing.T) {
