Do not count the sums of a cell beside the reports of its nodes

When so few nodes are left that several cells become one, each node counted the units of the others twice for the length of the window, in the sums of their cell and in their own reports, and held back shares for nodes that it had not heard one by one yet. Accounts within their limit got 429 (seen on synthetic time with an account at two thirds of its limit).

The sums of a cell now count until all of its nodes are heard one by one, and stand for them in the shares until the first one is. A node that was heard in sums until a moment ago is not taken for silent.

TestCellsBecomeOne fails without either part.

--- a/core/quota/cell_test.go
+++ b/core/quota/cell_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -101,3 +102,40 @@
 		t.Errorf("hidden units %.0f with one silent node of 2, %.0f with three of 4; want %d and %d", one, many, limit/2, limit*3/4)
 	}
 }
+
+// TestCellsBecomeOne guards against requests within the limit that are refused when so many nodes
+// are gone that the others form one cell: units that were heard in sums and then from each node
+// count twice, and nodes of other cells are taken for silent.
+func TestCellsBecomeOne(t *testing.T) {
+	n := newNode("n", 1, 0)
+	n.cells = true
+	n.apply(0, event.Tick{})
+	var others []model.Member
+	for i := range 2 {
+		others = append(others, model.Member{Name: model.NodeName(fmt.Sprint("b", i)), Zone: "b", Incarnation: model.Incarnation(i + 2)})
+	}
+	n.apply(0, event.MembersRead{Members: others})
+	admitted := func(units float64) []model.AccountTotal {
+		return []model.AccountTotal{{Account: "x", Units: units, Recent: units}}
+	}
+	const at = 10 * time.Second
+	n.apply(at, event.SyncArrived{Report: model.Report{Member: others[0], Seq: 1, Nodes: 2, Admitted: admitted(6000)}})
+	n.cells = false
+	for i, step := range []func(){
+		func() {},
+		func() {
+			n.apply(at+5*time.Millisecond, event.SyncArrived{Report: model.Report{Member: others[0], Seq: 2, Admitted: admitted(3000)}})
+		},
+		func() {
+			n.apply(at+5*time.Millisecond, event.SyncArrived{Report: model.Report{Member: others[1], Seq: 1, Admitted: admitted(3000)}})
+		},
+	} {
+		step()
+		if !n.request(at+10*time.Millisecond, []float64{1000, 300, 300}[i]) {
+			t.Error("a request within the limit is refused after the cells became one")
+		}
+	}
+	if n.request(at+10*time.Millisecond, 5000) {
+		t.Error("units that were heard in sums do not count any more")
+	}
+}
--- a/core/quota/process.go
+++ b/core/quota/process.go
@@ -12,6 +12,7 @@
 // another cell as its relay sums them up.
 type process struct {
 	node model.NodeName
+	zone model.ZoneName
 	// relay is the process that sums up a cell, and nodes the number of its nodes.
 	// Nodes is zero for a single process.
 	relay      model.Incarnation
@@ -77,7 +78,7 @@
 	for itr := s.processes.Iterator(); !itr.Done(); {
 		_, p, _ := itr.Next()
 		admitted, found := p.accounts.Get(account)
-		if !found {
+		if !found || s.replaced(p) {
 			continue
 		}
 		next := contribution{series: admitted, timedFrom: p.firstReportAt}
@@ -92,6 +93,33 @@
 	return all
 }
 
+// represents reports whether the reports of a process or a cell stand for its nodes as they are
+// divided now. In cells, the nodes of other availability zones are heard in sums, else by
+// themselves.
+func (s State) represents(p process) bool {
+	if p.nodes > 0 {
+		return s.cells || s.heardSingly(p) == 0
+	}
+	return !s.cells || p.zone == s.self.Zone
+}
+
+// replaced reports whether all nodes of a cell that does not exist any more have been heard one
+// by one, so that its sums would count their units again.
+func (s State) replaced(p process) bool {
+	return p.nodes > 0 && !s.cells && s.heardSingly(p) >= p.nodes
+}
+
+// heardSingly returns the number of nodes that were heard one by one since the last sums of
+// their cell.
+func (s State) heardSingly(cell process) (nodes int) {
+	for itr := s.processes.Iterator(); !itr.Done(); {
+		if _, p, _ := itr.Next(); p.nodes == 0 && p.zone == cell.zone && p.reportedAt.After(cell.reportedAt) {
+			nodes++
+		}
+	}
+	return nodes
+}
+
 // hiddenUnits returns what silent nodes may have admitted in the window without
 // reporting it, less the usable slack. A silent node, which may never have been heard, is
 // assumed to admit an equal share of the limit. The result may be negative.
@@ -101,7 +129,7 @@
 	hidden, nodes, silent := 0.0, 1+unheard, unheard
 	for itr := s.processes.Iterator(); !itr.Done(); {
 		_, p, _ := itr.Next()
-		if p.stopped {
+		if p.stopped || !s.represents(p) {
 			continue
 		}
 		weight := float64(max(1, p.nodes))
@@ -144,7 +172,7 @@
 			s = s.withProcessesStopped(m.Name, m.Incarnation).withRegisteredStopped(m.Name, m.Incarnation)
 		}
 		s = s.withoutExpiredProcesses(at)
-		p = process{node: r.Source(), firstReportAt: at, accounts: immutable.NewSortedMap[model.AccountName, series](nil)}
+		p = process{node: r.Source(), zone: m.Zone, firstReportAt: at, accounts: immutable.NewSortedMap[model.AccountName, series](nil)}
 	}
 	p.seq, p.reportedAt, p.stopped = r.Seq, at, false
 	if r.Nodes > 0 {
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -33,6 +33,8 @@
 	incarnation model.Incarnation
 	seq         uint64
 	writes      []model.QuotaRecord
+	// cells is set while the nodes are divided into cells.
+	cells bool
 }
 
 func newNode(name model.NodeName, incarnation model.Incarnation, at time.Duration) *node {
@@ -48,7 +50,7 @@
 	pending := []event.Event{e}
 	for len(pending) > 0 {
 		var out quota.Out
-		n.state, out = n.state.Apply(step.Input[event.Event]{At: now, Event: pending[0]}, quota.View{WallTime: now, WritesRecords: true})
+		n.state, out = n.state.Apply(step.Input[event.Event]{At: now, Event: pending[0]}, quota.View{WallTime: now, WritesRecords: true, Cells: n.cells})
 		pending = pending[1:]
 		raised = append(raised, out.Raised...)
 		for _, f := range out.Effects {
--- a/core/quota/registered.go
+++ b/core/quota/registered.go
@@ -57,7 +57,7 @@
 	}
 	running := map[model.NodeName]bool{}
 	for itr := s.processes.Iterator(); !itr.Done(); {
-		if _, p, _ := itr.Next(); !p.stopped {
+		if _, p, _ := itr.Next(); !p.stopped && s.represents(p) {
 			running[p.node] = true
 		}
 	}
@@ -67,10 +67,15 @@
 		if r.stopped || at.Sub(r.seenAt) >= processRetention || running[r.Name] {
 			continue
 		}
+		cell := model.CellIncarnation(r.Zone)
+		if sums, found := s.processes.Get(cell); found && !s.cells && at.Sub(sums.reportedAt) < silenceTimeout {
+			// The cells have just become one, and the node was heard in the sums until then.
+			continue
+		}
 		if s.cells && r.Zone != s.self.Zone {
-			incarnation = model.CellIncarnation(r.Zone)
+			incarnation = cell
 		}
-		if _, heard := s.processes.Get(incarnation); !heard {
+		if p, heard := s.processes.Get(incarnation); !heard || !s.represents(p) {
 			count++
 		}
 	}
