Tell nodes that are gone for good from nodes that are cut off

Cause: a node holds back a share of each limit for every registered node that it does not hear, for a minute. Registrations of machines that are gone stay in the store, and each process that starts counts them anew.

core/alive finds out by what nodes show in the store: a node states which registered nodes it misses, a node that is named renews its registration, and one that does not for 8 s, while the store answers, is gone. Nothing is held back for it, its registration is removed, and core/member forgets it, so that cells, relays and retry budgets count the nodes that run. The component takes over the reads and the registration from core/member and platform/store.go.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"caroblane/core/alive"
 	"caroblane/core/effect"
 	"caroblane/core/event"
 	"caroblane/core/feed"
@@ -36,6 +37,7 @@
 	feed     feed.State
 	site     site.State
 	fleet    fleet.State
+	alive    alive.State
 	member   member.State
 	quota    quota.State
 	usage    usage.State
@@ -60,6 +62,7 @@
 	Feed   feed.State
 	Site   site.State
 	Fleet  fleet.State
+	Alive  alive.State
 	Member member.State
 	Quota  quota.State
 	Usage  usage.State
@@ -74,6 +77,7 @@
 		feed:   components.Feed,
 		site:   components.Site,
 		fleet:  components.Fleet,
+		alive:  components.Alive,
 		member: components.Member,
 		quota:  components.Quota,
 		usage:  components.Usage,
@@ -115,7 +119,7 @@
 
 // Next returns when the node needs a Tick, or the zero time if it needs none.
 func (s State) Next() time.Time {
-	return step.Earliest(s.feed.Next(), s.fleet.Next(), s.member.Next(), s.quota.Next(), s.usage.Next(), s.lease.Next(), s.scaler.Next(), s.serve.Next())
+	return step.Earliest(s.feed.Next(), s.fleet.Next(), s.alive.Next(), s.member.Next(), s.quota.Next(), s.usage.Next(), s.lease.Next(), s.scaler.Next(), s.serve.Next())
 }
 
 // Ready reports whether the node should receive requests.
@@ -180,13 +184,17 @@
 		s.fleet, out = s.fleet.WithWallTime(s.member.WallTime(in.At)).Apply(in)
 		all = all.With(out)
 	}
+	if to.has(toAlive) {
+		s.alive, out = s.alive.Apply(in, alive.View{Flat: s.member.Flat(), Round: s.member.Round(), Searches: s.member.Searches()})
+		all = all.With(out)
+	}
 	if to.has(toMember) {
 		s.member, out = s.member.Apply(in)
 		all = all.With(out)
 	}
 	if to.has(toQuota) {
 		s.quota, out = s.quota.Apply(in, quota.View{
-			WallTime: s.member.WallTime(in.At), WritesRecords: s.isRecorder(in.At), Cells: !s.member.Flat(),
+			WallTime: s.member.WallTime(in.At), WritesRecords: s.isRecorder(in.At), Cells: !s.member.Flat(), Lapsed: s.alive.Lapsed(in.At),
 			Unlimited: s.site.HasConfig() && !s.site.HasLimits(),
 		})
 		all = all.With(out)
--- a/core/edge/receivers.go
+++ b/core/edge/receivers.go
@@ -9,6 +9,7 @@
 	toFeed receivers = 1 << iota
 	toSite
 	toFleet
+	toAlive
 	toMember
 	toQuota
 	toUsage
@@ -16,7 +17,7 @@
 	toScaler
 	toServe
 
-	toAll = toFeed | toSite | toFleet | toMember | toQuota | toUsage | toLease | toScaler | toServe
+	toAll = toFeed | toSite | toFleet | toAlive | toMember | toQuota | toUsage | toLease | toScaler | toServe
 )
 
 func (r receivers) has(component receivers) bool { return r&component != 0 }
@@ -39,7 +40,7 @@
 	case event.DemandArrived:
 		return toScaler
 	case event.AnnounceArrived:
-		return toFeed | toFleet | toQuota | toMember | toServe
+		return toFeed | toFleet | toQuota | toAlive | toMember | toServe
 	case event.AnnounceDue, event.FeedAsked, event.SummaryDue, event.SyncDue, event.SyncAnswerDue, event.SuspicionsDue,
 		event.ConnectionsSilent:
 		return 0
--- a/core/effect/site.go
+++ b/core/effect/site.go
@@ -119,13 +119,6 @@
 	Report model.Report
 }
 
-// ReadMembers lists the nodes registered in the store. The response is
-// event.MembersRead.
-type ReadMembers struct{}
-
-// RegisterMember writes the registration of this node to the store.
-type RegisterMember struct{ Member model.Member }
-
 func (e AbandonAttempt) To() model.Ticket { return e.Ticket }
 
 func (e Decline) To() model.Ticket { return e.Ticket }
@@ -142,7 +135,5 @@
 func (Forward) isEffect()        {}
 func (FreeHandle) isEffect()     {}
 func (PassFailure) isEffect()    {}
-func (ReadMembers) isEffect()    {}
-func (RegisterMember) isEffect() {}
 func (SyncPeer) isEffect()       {}
 func (SyncReply) isEffect()      {}
--- a/core/event/share.go
+++ b/core/event/share.go
@@ -93,9 +93,17 @@
 	Stopped bool
 }
 
-// MembersRead reports the nodes registered in the store.
+// MembersRead is raised when the nodes registered in the store have been read. It leaves out
+// those that are gone.
 type MembersRead struct{ Members []model.Member }
 
+// MemberGone is raised when a node that was missed proves to be gone for good: it admits no
+// requests, unless event.MemberShown follows.
+type MemberGone struct{ Member model.Member }
+
+// MemberShown is raised when a node has shown in its registration that it runs.
+type MemberShown struct{ Member model.Member }
+
 // UseChanged is raised when the unfinished work of this node on an upstream
 // changes.
 type UseChanged struct {
@@ -114,6 +122,8 @@
 func (AttemptJudged) isEvent()  {}
 func (DemandArrived) isEvent()  {}
 func (MembersRead) isEvent()    {}
+func (MemberGone) isEvent()     {}
+func (MemberShown) isEvent()    {}
 func (PromptMeasured) isEvent() {}
 func (QuotaAsked) isEvent()     {}
 func (QuotaGranted) isEvent()   {}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -18,12 +18,6 @@
 const (
 	// syncInterval is the shortest time between two exchanges of a pair of nodes.
 	syncInterval = 300 * time.Millisecond
-	// earlyReadInterval is the time between reads of the registered nodes
-	// during earlyPeriod after the start, when other nodes may be starting too,
-	// and until a read succeeds. readInterval applies afterwards.
-	earlyReadInterval = 500 * time.Millisecond
-	earlyPeriod       = 3 * time.Second
-	readInterval      = 10 * time.Second
 	// stoppedRetention is how long a member is kept after its process has
 	// ended, unresponsiveRetention how long one that does not answer is kept.
 	stoppedRetention      = 10 * time.Second
@@ -70,7 +64,6 @@
 	settledAt   time.Time
 	members     *immutable.SortedMap[model.NodeName, Member]
 	nextSyncAt  time.Time
-	nextReadAt  time.Time
 	membersRead bool
 	draining    bool
 	// cells has the last summary of each other cell. layout is what follows from the
@@ -101,7 +94,6 @@
 		members:    immutable.NewSortedMap[model.NodeName, Member](nil),
 		cells:      immutable.NewSortedMap[model.ZoneName, cell](nil),
 		nextSyncAt: startAt,
-		nextReadAt: startAt,
 	}.withLayout(startAt)
 }
 
@@ -110,7 +102,9 @@
 	var out Out
 	switch e := in.Event.(type) {
 	case event.MembersRead:
-		s = s.handleMembersRead(e, in.At, &out)
+		s = s.handleMembersRead(e, in.At)
+	case event.MemberGone:
+		s = s.handleMemberGone(e, in.At)
 	case event.SyncAnswered:
 		s = s.handleReport(e.Report, in, in.At.Sub(e.SentAt)/2, &out)
 	case event.SyncArrived:
@@ -142,7 +136,7 @@
 // Next returns when the component needs a Tick, or the zero time if it needs
 // none.
 func (s State) Next() time.Time {
-	next := step.Earliest(s.nextSyncAt, s.nextReadAt)
+	next := s.nextSyncAt
 	if s.layout.flat {
 		return next
 	}
@@ -238,23 +232,28 @@
 
 // handleMembersRead processes the nodes registered in the store. If a process
 // replaced another one of the same name, its entry has a new incarnation.
-func (s State) handleMembersRead(e event.MembersRead, at time.Time, out *Out) State {
+func (s State) handleMembersRead(e event.MembersRead, at time.Time) State {
 	if !s.membersRead {
 		s.membersRead, s.nextSyncAt = true, at
 	}
-	s.nextReadAt = s.nextReadTime(at)
-	registered := false
 	for _, m := range e.Members {
-		registered = registered || m == s.self
 		known, found := s.members.Get(m.Name)
 		if found && known.Incarnation != m.Incarnation && !known.stoppedAt.IsZero() {
 			s.members = s.members.Delete(m.Name)
 		}
 		s = s.withMember(m, at)
 	}
-	if !registered {
-		out.Emit(effect.RegisterMember{Member: s.self})
+	return s.withLayout(at)
+}
+
+// handleMemberGone notes that the process of a node has ended.
+func (s State) handleMemberGone(e event.MemberGone, at time.Time) State {
+	m, known := s.members.Get(e.Member.Name)
+	if !known || m.Incarnation != e.Member.Incarnation || !m.stoppedAt.IsZero() {
+		return s
 	}
+	m.stoppedAt = at
+	s.members = s.members.Set(m.Name, m)
 	return s.withLayout(at)
 }
 
--- a/core/member/schedule.go
+++ b/core/member/schedule.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"time"
 
-	"caroblane/core/effect"
 	"caroblane/core/event"
 	"caroblane/core/model"
 	"caroblane/core/step"
@@ -25,16 +24,16 @@
 
 func compareZones(a, b model.Member) int { return cmp.Compare(a.Zone, b.Zone) }
 
-// nextReadTime returns when the registered nodes are read again. In one of several
-// cells, the relay reads them for all.
-func (s State) nextReadTime(at time.Time) time.Time {
-	early := !s.membersRead || at.Sub(s.startAt) < earlyPeriod
-	switch {
-	case early && (s.layout.flat || s.layout.isRelay || !s.anyHeard()):
-		return at.Add(earlyReadInterval)
-	default:
-		return at.Add(readInterval)
+// Searches reports whether this node looks for others at short intervals after its start. In
+// one of several cells, the relay does so for all.
+func (s State) Searches() bool { return s.layout.flat || s.layout.isRelay || !s.anyHeard() }
+
+// Round returns the time in which this node exchanges reports with each node of its cell.
+func (s State) Round() time.Duration {
+	if s.layout.flat {
+		return syncInterval
 	}
+	return max(syncInterval, syncSpacing*time.Duration(len(s.layout.cell)))
 }
 
 // anyHeard reports whether this node has heard from any other one.
@@ -47,15 +46,9 @@
 	return false
 }
 
-// handleTick starts the reads and exchanges that are due.
+// handleTick starts the exchanges that are due.
 func (s State) handleTick(in step.Input[event.Event], out *Out) State {
 	at := in.At
-	if !at.Before(s.nextReadAt) {
-		s.nextReadAt = s.nextReadTime(at)
-		if s.layout.flat || s.layout.isRelay || !s.membersRead || at.Sub(s.startAt) < earlyPeriod {
-			out.Emit(effect.ReadMembers{})
-		}
-	}
 	if !at.Before(s.nextSyncAt) {
 		s = s.withoutSilent(at, out).withLayout(at).withClockCorrection(at, in.TimeOfDay())
 		if s.layout.flat {
--- a/core/model/config.go
+++ b/core/model/config.go
@@ -39,6 +39,14 @@
 	Incarnation Incarnation
 }
 
+// Registration is the object Member/<node> of an entry node on a platform.
+type Registration struct {
+	Member
+	// Misses are registered nodes that this node does not hear. They renew their own
+	// registrations.
+	Misses []NodeName
+}
+
 // Model is a model that callers may request.
 type Model struct {
 	// MaxTokens is the maximum number of tokens generated for one request.
--- a/core/model/op.go
+++ b/core/model/op.go
@@ -21,4 +21,5 @@
 	PartUsage
 	PartScaler // PartSteer
 	PartQuota
+	PartMember
 )
--- a/core/model/site.go
+++ b/core/model/site.go
@@ -16,10 +16,12 @@
 	// duties.
 	LeaseGained Belief = iota
 	LeaseLost
-	// PeerMet, PeerStopped and PeerForgotten refer to another node.
+	// PeerMet, PeerStopped, PeerForgotten, PeerMissed and PeerGone refer to another node.
 	PeerMet
 	PeerStopped
 	PeerForgotten
+	PeerMissed
+	PeerGone
 	// UpstreamAvoided and UpstreamGone refer to an upstream.
 	UpstreamAvoided
 	UpstreamGone
--- a/core/quota/process.go
+++ b/core/quota/process.go
@@ -140,6 +140,11 @@
 			hidden -= series.increaseSince(from)
 		}
 	}
+	if s.lapsed && silent*2 > nodes {
+		// The nodes that this one does not hear may have found it gone, and hold back
+		// nothing for it.
+		return limit
+	}
 	if silent > 0 {
 		hidden = max(0, hidden+silent*limit/nodes)
 	}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -58,6 +58,8 @@
 	// divided into cells.
 	registered *immutable.SortedMap[model.Incarnation, registered]
 	cells      bool
+	// lapsed is set if other nodes may hold nothing back for this process.
+	lapsed bool
 	// unreported lists the accounts whose totals changed since the last report.
 	unreported []model.AccountName
 	// cell sums up what the nodes of the cell admit.
@@ -88,6 +90,9 @@
 	// Cells is set if the nodes are divided into cells. The nodes of other cells are heard
 	// in sums only.
 	Cells bool
+	// Lapsed is set if other nodes may have found this process gone, so that they hold
+	// nothing back for it.
+	Lapsed bool
 	// Unlimited is set if the configuration is known and sets no limit for any account.
 	Unlimited bool
 }
@@ -113,7 +118,7 @@
 // store.
 func (s State) Apply(in step.Input[event.Event], view View) (State, Out) {
 	var out Out
-	s.cells = view.Cells
+	s.cells, s.lapsed = view.Cells, view.Lapsed
 	s = s.handleStoreResponse(in, view)
 	switch e := in.Event.(type) {
 	case event.SettingsChanged:
@@ -138,6 +143,10 @@
 		}
 	case event.MembersRead:
 		s = s.withRegistered(e.Members, in.At)
+	case event.MemberGone:
+		s = s.withGone(e.Member)
+	case event.MemberShown:
+		s = s.withShown(e.Member, in.At)
 	}
 	return s.startDueCall(in.At, view, &out), out
 }
--- a/core/quota/registered.go
+++ b/core/quota/registered.go
@@ -11,7 +11,8 @@
 // registered is a process that the store lists as a node.
 type registered struct {
 	model.Member
-	// seenAt is when this process first read the registration.
+	// seenAt is when this process first read the registration, or when the node last showed
+	// in the store that it runs.
 	seenAt time.Time
 	// stopped is set if the process is known to have ended.
 	stopped bool
@@ -48,6 +49,33 @@
 	return s
 }
 
+// withGone marks the process of a node as ended that was found gone for good.
+func (s State) withGone(m model.Member) State {
+	if r, found := s.registered.Get(m.Incarnation); found {
+		r.stopped = true
+		s.registered = s.registered.Set(m.Incarnation, r)
+	}
+	if p, found := s.processes.Get(m.Incarnation); found {
+		p.stopped = true
+		s.processes = s.processes.Set(m.Incarnation, p)
+	}
+	return s
+}
+
+// withShown notes that the process of a node has shown in the store that it runs, so that it
+// may admit units although it is not heard.
+func (s State) withShown(m model.Member, at time.Time) State {
+	if r, found := s.registered.Get(m.Incarnation); found {
+		r.stopped, r.seenAt = false, at
+		s.registered = s.registered.Set(m.Incarnation, r)
+	}
+	if p, found := s.processes.Get(m.Incarnation); found && p.stopped {
+		p.stopped = false
+		s.processes = s.processes.Set(m.Incarnation, p)
+	}
+	return s
+}
+
 // unheard returns the number of nodes that are registered and may be running, and that this
 // process has never heard, by themselves or in the sums of their cell. A registration that
 // stays without a sign of its node for processRetention counts as left behind.
--- a/io/codec/records.go
+++ b/io/codec/records.go
@@ -26,8 +26,8 @@
 		record = usagePartToRecord(v)
 	case model.Usage:
 		record = usageToRecord(v)
-	case model.Member:
-		record = memberRecord(v)
+	case model.Registration:
+		record = memberRecord{v.Name, v.Address, v.Zone, v.Incarnation, v.Misses}
 	case model.UsageSnapshot:
 		record = usageSnapshotRecord{v.Epoch, mapSlice(v.Parts, usagePartToRecord), v.Next}
 	case model.QuotaRecord:
@@ -60,7 +60,7 @@
 	case model.KindUsage:
 		return decodeRecord(kind, text, usageFromRecord)
 	case model.KindMember:
-		return decodeRecord(kind, text, func(r memberRecord) (model.Member, error) { return model.Member(r), nil })
+		return decodeRecord(kind, text, registrationFromRecord)
 	case model.KindQuota:
 		return decodeRecord(kind, text, quotaFromRecord)
 	case model.KindUsageSnapshot:
@@ -94,7 +94,7 @@
 		return model.KindProvision
 	case model.UsagePart:
 		return model.KindUsagePart
-	case model.Member:
+	case model.Registration:
 		return model.KindMember
 	case model.QuotaRecord:
 		return model.KindQuota
@@ -133,12 +133,19 @@
 	}, nil
 }
 
-// memberRecord is the stored form of the model.Member of an entry node.
+// memberRecord is the stored form of the model.Registration of an entry node.
 type memberRecord struct {
 	Name        model.NodeName
 	Address     string
 	Zone        model.ZoneName
 	Incarnation model.Incarnation
+	Misses      []model.NodeName `json:",omitempty"`
+}
+
+func registrationFromRecord(r memberRecord) (model.Registration, error) {
+	return model.Registration{
+		Member: model.Member{Name: r.Name, Address: r.Address, Zone: r.Zone, Incarnation: r.Incarnation}, Misses: r.Misses,
+	}, nil
 }
 
 type responseRecord struct {
